--- /dev/null
+++ b/starlingdeck/__main__.py
@@ -0,0 +1,5 @@
+"""python -m starlingdeck"""
+
+from starlingdeck.cli import main
+
+main(prog_name="starlingdeck")
--- /dev/null
+++ b/starlingdeck/coordination/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions: ownership, jobs, machines, placement, fleet."""
--- /dev/null
+++ b/starlingdeck/coordination/cloud.py
@@ -0,0 +1,239 @@
+"""The cloud's client, and the loop that brings the rented fleet to the wanted one."""
+
+import logging
+from collections.abc import Callable
+from typing import Any, TypeVar
+
+import curio
+import msgspec
+
+from starlingdeck.coordination import fleet
+from starlingdeck.coordination.fleet import Ask, Demand, FleetState, Listed
+from starlingdeck.coordination.placement import Room
+from starlingdeck.coordination.world import World
+from starlingdeck.protocol import api
+from starlingdeck.storage.limiter import Limiter
+from starlingdeck.transport.client import HttpClient, NoAnswer, Reply
+
+log = logging.getLogger(__name__)
+
+T = TypeVar("T")
+
+
+class CloudError(Exception):
+    """Refused, no answer, or nonsense: to be tried again."""
+
+
+class NoCapacity(CloudError):
+    """None available of this type, zone and kind."""
+
+
+class CloudClient:
+    def __init__(self, http: HttpClient, address: str, limiter: Limiter) -> None:
+        self.http = http
+        self.address = address
+        self.limiter = limiter
+
+    async def _call(self, method: str, path: str, body: Any, urgent: bool = False) -> Reply:
+        await self.limiter.take(1.0, urgent)
+        data = None if body is None else msgspec.json.encode(body)
+        try:
+            reply = await self.http.call(self.address, method, path, data, 5.0)
+        except NoAnswer as fault:
+            raise CloudError(str(fault)) from fault
+        if reply.status == 503 and b"no capacity" in reply.body:
+            raise NoCapacity
+        if reply.status != 200:
+            raise CloudError(f"answered {reply.status}")
+        return reply
+
+    async def types(self) -> list[api.MachineType]:
+        reply = await self._call("GET", api.MACHINE_TYPES, None, True)
+        return _decode(reply, api.MachineTypes).types
+
+    async def machines(self) -> list[api.MachineInfo]:
+        found: list[api.MachineInfo] = []
+        after = ""
+        while True:
+            tail = f"after={after}&" if after else ""
+            reply = await self._call("GET", f"{api.MACHINES}?{tail}limit=500", None)
+            page = _decode(reply, api.MachineList)
+            found += page.machines
+            if not page.more or not page.machines:
+                return found
+            after = page.machines[-1].id
+
+    async def rent(self, ask: api.RentRequest) -> list[str]:
+        reply = await self._call("POST", api.MACHINES, ask, True)
+        return _decode(reply, api.MachineNames).machines
+
+    async def delete(self, names: list[str]) -> None:
+        await self._call("POST", api.MACHINES_DELETE, api.MachineNames(names), True)
+
+
+def _decode(reply: Reply, kind: type[T]) -> T:
+    try:
+        return msgspec.json.decode(reply.body, type=kind)
+    except msgspec.DecodeError as fault:
+        raise CloudError(f"nonsense: {fault}") from fault
+
+
+class Fleet:
+    """Runs at the holder of shard 0. What it remembers is only a help: the list and the
+    reports are the truth, so a successor starts with nothing."""
+
+    def __init__(
+        self,
+        world: World,
+        cloud: CloudClient,
+        token: int,
+        rooms: Callable[[], list[Room]],
+        demands: Callable[[], list[Demand]],
+        deleted: Callable[[list[str]], None],
+    ) -> None:
+        self.world = world
+        self.cloud = cloud
+        self.token = token
+        self.rooms = rooms
+        self.demands = demands
+        self.deleted = deleted
+        self.state = FleetState()
+        self.returned: dict[str, float] = {}
+        self.next_list = 0.0
+        self.listed_once = False
+        self.started = world.now()
+
+    async def step(self) -> None:
+        now = self.world.now()
+        if now >= self.next_list:
+            self.next_list = now + max(2.0, self.world.settings.settings.cloud.list_lag_s / 2)
+            await self._list()
+        await self._delete()
+        await self._rent()
+
+    async def _list(self) -> None:
+        world, now = self.world, self.world.now()
+        listed = await self.cloud.machines()
+        self.listed_once = True
+        for item in listed:
+            old = self.state.listed.get(item.id)
+            if old is None:
+                self.state.listed[item.id] = Listed(
+                    item.id,
+                    world.type_names.put(item.type),
+                    item.zone,
+                    item.spot,
+                    item.state,
+                    now - item.age_s,
+                    now,
+                )
+            else:
+                old.state, old.last_seen = item.state, now
+        # The list lags, and may be older than the one before: forget only what is long gone.
+        lag = 2 * world.settings.settings.cloud.list_lag_s + 5
+        for name in [n for n, m in self.state.listed.items() if now - m.last_seen > lag]:
+            del self.state.listed[name]
+
+    async def _delete(self) -> None:
+        world, now = self.world, self.world.now()
+        rooms = self.rooms()
+        up = {world.machines[r.index] for r in rooms if not r.dead}
+        names = [m.name for m in self.state.listed.values() if m.state == api.FAILED]
+        names += fleet.stuck(world, self.state, up, now)
+        names += [world.machines[r.index] for r in rooms if r.dead and r.silent_s > 30]
+        names += [
+            world.machines[r.index]
+            for r in rooms
+            if r.draining and not r.dead and not r.notice and not r.busy
+        ]
+        names += self._idle(rooms)
+        batch = [n for n in dict.fromkeys(names) if n not in self.returned][:100]
+        if not batch:
+            return
+        await self.cloud.delete(batch)
+        log.info("returned to the cloud: %s", " ".join(batch))
+        for name in batch:
+            self.returned[name] = now
+            self.state.listed.pop(name, None)
+        # A list that lags may still show them; ask again only if they stay.
+        self.returned = {n: at for n, at in self.returned.items() if now - at < 60}
+        self.deleted(batch)
+
+    def _idle(self, rooms: list[Room]) -> list[str]:
+        """Machines that nothing has used for long, beyond the spare share."""
+        world = self.world
+        if self.demands() or world.now() - self.started < world.tuning.idle_s:
+            return []
+        free = sum(max(0.0, r.free[0]) for r in rooms if r.drawable)
+        total = sum(r.total[0] for r in rooms if r.drawable)
+        keep = total * max(0.5, world.tuning.spare_share)
+        out = []
+        for room in sorted(rooms, key=lambda r: -r.idle_s):
+            if room.drawable and not room.busy and room.idle_s > world.tuning.idle_s:
+                if free - room.total[0] < keep:
+                    break
+                free -= room.total[0]
+                out.append(world.machines[room.index])
+        return out
+
+    async def _rent(self) -> None:
+        world, now = self.world, self.world.now()
+        # After taking over, what was rented before must first show.
+        settled = now - self.started > min(10.0, world.settings.settings.cloud.list_lag_s)
+        if not self.listed_once or not world.types or not settled:
+            return
+        rooms = self.rooms()
+        up = {world.machines[r.index] for r in rooms}
+        if not self.state.asks:
+            new = fleet.wanted_asks(
+                world,
+                self.state,
+                self.demands(),
+                [r for r in rooms if r.drawable],
+                fleet.coming(world, self.state, up, now),
+                [r for r in rooms if r.draining and not r.dead],
+                now,
+            )
+            for ask in new:
+                self.state.counter += 1
+                ask.name = f"r-{self.token}-{self.state.counter}"
+                self.state.asks.append(ask)
+        for ask in list(self.state.asks):
+            await self._ask(ask)
+
+    async def _ask(self, ask: Ask) -> None:
+        world, now = self.world, self.world.now()
+        kind = world.type_names[ask.type]
+        key = (ask.type, ask.zone, ask.spot)
+        try:
+            # Until it is answered the same name is asked again: it may have been executed.
+            names = await self.cloud.rent(
+                api.RentRequest(ask.name, kind, ask.zone, ask.spot, ask.count)
+            )
+        except NoCapacity:
+            self.state.asks.remove(ask)
+            wait = min(60.0, self.state.backoff.get(key, 4.0) * 1.5)
+            self.state.backoff[key] = wait
+            self.state.no_capacity[key] = now + wait
+            log.info("no capacity for %s in %s (spot %s)", kind, ask.zone, ask.spot)
+            return
+        self.state.asks.remove(ask)
+        self.state.backoff.pop(key, None)
+        if len(names) < ask.count:
+            self.state.no_capacity[key] = now + 10.0
+        for name in names:
+            self.state.listed[name] = Listed(
+                name, ask.type, ask.zone, ask.spot, api.BOOTING, now, now + 60.0
+            )
+        log.info("rented %d of %d %s in %s: %s", len(names), ask.count, kind, ask.zone, names)
+
+
+async def learn_types(world: World, cloud: CloudClient) -> None:
+    """Asks until the machine types are known, then now and then for the prices."""
+    while True:
+        try:
+            world.learn_types(await cloud.types())
+            await curio.sleep(60.0)
+        except CloudError as fault:
+            log.info("machine types not read: %s", fault)
+            await curio.sleep(0.7 + 0.6 * world.rng.random())
--- /dev/null
+++ b/starlingdeck/coordination/fleet.py
@@ -0,0 +1,174 @@
+"""The wanted fleet, and the calls that bring the rented one closer to it. Pure."""
+
+import math
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+
+from starlingdeck.coordination.placement import Room
+from starlingdeck.coordination.world import Size, World, total_of
+
+
+@dataclass(slots=True)
+class Demand:
+    """Tasks of one kind that found no machine."""
+
+    size: Size
+    count: int
+    types: tuple[str, ...]
+    zone: str
+    spot: bool
+    rank: int
+    service: bool
+
+
+@dataclass(slots=True)
+class Ask:
+    """A rental request; its name is never used for anything else."""
+
+    name: str
+    type: int
+    zone: str
+    spot: bool
+    count: int
+    at: float
+    tries: int = 0
+
+
+@dataclass(slots=True)
+class Listed:
+    """A machine as the cloud's list had it, or as a rental's answer promised it."""
+
+    name: str
+    type: int
+    zone: str
+    spot: bool
+    state: str
+    rented: float
+    last_seen: float
+
+
+@dataclass(slots=True)
+class FleetState:
+    listed: dict[str, Listed] = field(default_factory=dict)
+    asks: list[Ask] = field(default_factory=list)
+    no_capacity: dict[tuple[int, str, bool], float] = field(default_factory=dict)
+    backoff: dict[tuple[int, str, bool], float] = field(default_factory=dict)
+    counter: int = 0
+
+
+def coming(world: World, state: FleetState, up: set[str], now: float) -> list[Listed]:
+    """Machines that are paid for and should still come up."""
+    found = []
+    for item in state.listed.values():
+        kind = world.types.get(item.type)
+        boot = kind.boot_s if kind else 60.0
+        if item.name not in up and item.state != "failed" and now - item.rented < boot * 1.8 + 10:
+            found.append(item)
+    return found
+
+
+def stuck(world: World, state: FleetState, up: set[str], now: float) -> list[str]:
+    """Boots that never came up."""
+    found = []
+    for item in state.listed.values():
+        kind = world.types.get(item.type)
+        boot = kind.boot_s if kind else 60.0
+        if item.name not in up and now - item.rented > boot * 4 + 30:
+            found.append(item.name)
+    return found
+
+
+def wanted_asks(
+    world: World,
+    state: FleetState,
+    demands: Sequence[Demand],
+    rooms: Sequence[Room],
+    pending_boots: Sequence[Listed],
+    draining: Sequence[Room],
+    now: float,
+) -> list[Ask]:
+    """Rentals for the demand that neither free room nor machines on the way can take."""
+    bins: list[tuple[int, str, bool, list[float]]] = []
+    for item in pending_boots:
+        kind = world.types.get(item.type)
+        if kind is not None:
+            bins.append((item.type, item.zone, item.spot, list(total_of(kind))))
+    for ask in state.asks:
+        kind = world.types.get(ask.type)
+        if kind is not None:
+            bins += [(ask.type, ask.zone, ask.spot, list(total_of(kind)))] * ask.count
+    bins = [(t, z, s, list(free)) for t, z, s, free in bins]
+    needs = list(demands) + spare_demand(world, rooms, draining)
+    new: dict[tuple[int, str, bool], int] = {}
+    for need in sorted(needs, key=lambda d: (-d.rank, -d.size[0])):
+        for _ in range(min(need.count, 400)):
+            if _take(world, need, bins):
+                continue
+            choice = cheapest(world, state, need, now)
+            if choice is None:
+                break
+            kind = world.types[choice[0]]
+            bins.append((*choice, list(total_of(kind))))
+            _take(world, need, bins)
+            new[choice] = new.get(choice, 0) + 1
+    return [
+        Ask("", kind, zone, spot, min(count, 8), now) for (kind, zone, spot), count in new.items()
+    ]
+
+
+def spare_demand(world: World, rooms: Sequence[Room], draining: Sequence[Room]) -> list[Demand]:
+    """Room to keep free for failures: the largest on-demand machine's worth, or a share."""
+    live = [r for r in rooms if not r.spot]
+    if not live:
+        return []
+    unit = min((r.total for r in live), key=lambda t: t[0])
+    total = sum(r.total[0] for r in live)
+    free = sum(max(0.0, r.free[0]) for r in live)
+    lost = sum(r.total[0] - max(0.0, r.free[0]) for r in draining)
+    short = total * world.tuning.spare_share + lost - free
+    if short <= 0 or unit[0] <= 0:
+        return []
+    return [Demand(unit, math.ceil(short / unit[0]), (), "", False, 0, False)]
+
+
+def _fits_kind(need: Demand, name: str, zone: str, spot: bool) -> bool:
+    if need.types and name not in need.types:
+        return False
+    if need.zone and need.zone != zone:
+        return False
+    return need.spot or not spot
+
+
+def _take(world: World, need: Demand, bins: list[tuple[int, str, bool, list[float]]]) -> bool:
+    for kind, zone, spot, free in bins:
+        if _fits_kind(need, world.type_names[kind], zone, spot) and all(
+            s <= f + 1e-9 for s, f in zip(need.size, free, strict=True)
+        ):
+            for d in range(3):
+                free[d] -= need.size[d]
+            return True
+    return False
+
+
+def cheapest(
+    world: World, state: FleetState, need: Demand, now: float
+) -> tuple[int, str, bool] | None:
+    """Type, zone and kind with the lowest price per task among those with capacity."""
+    best, best_rank = None, math.inf
+    for index, kind in world.types.items():
+        total = total_of(kind)
+        if any(s > t + 1e-9 for s, t in zip(need.size, total, strict=True)):
+            continue
+        holds = min(int(t / s) for s, t in zip(need.size, total, strict=True) if s > 0)
+        for zone in kind.zones:
+            for spot in (False, True):
+                key = (index, zone, spot)
+                if not _fits_kind(need, kind.name, zone, spot):
+                    continue
+                if state.no_capacity.get(key, 0.0) > now:
+                    continue
+                price = kind.spot_price if spot else kind.price
+                rank = price / min(holds, max(1, need.count))
+                if rank < best_rank:
+                    best, best_rank = key, rank
+    return best
--- /dev/null
+++ b/starlingdeck/coordination/jobs.py
@@ -0,0 +1,421 @@
+"""A job shard: its jobs, what is durable of them, and what it wants of machines.
+
+What is durable (`Job.state`, `tries`, `places`) changes only when the state service has
+said so. What should change next is held beside it (`ends`, `starts`) until it is written.
+"""
+
+import logging
+from array import array
+from dataclasses import dataclass, field
+
+from starlingdeck.coordination.names import task_key
+from starlingdeck.coordination.shards import machine_shard
+from starlingdeck.coordination.world import Size, World, size_of
+from starlingdeck.protocol import api
+from starlingdeck.protocol import peer_pb2 as pb
+from starlingdeck.protocol.api import JobSpec
+from starlingdeck.storage import records
+from starlingdeck.storage.records import CHUNK, Chunk, JobRecord
+from starlingdeck.storage.state import drop, put
+
+log = logging.getLogger(__name__)
+
+PENDING, PLACED, DONE = range(3)
+
+
+@dataclass(slots=True)
+class Place:
+    """Where an attempt is, as recorded. `listed` is the Wants that first named it."""
+
+    machine: int
+    session: int
+    attempt: int
+    shard: int
+    zone: int
+    listed: int = 0
+    listed_gen: int = 0
+    seen: int = api.PENDING
+    since: float = 0.0
+    moving: bool = False
+    grace_s: float = 0.0
+
+
+@dataclass(slots=True)
+class Job:
+    index: int
+    id: str
+    spec: JobSpec
+    shard: int
+    team: int
+    at_ms: int
+    size: Size
+    state: "array[int]"
+    tries: "array[int]"
+    cancelled: bool = False
+    final: str = ""
+    versions: dict[int, int] = field(default_factory=dict)  # chunk -> version of its key
+    places: dict[int, Place] = field(default_factory=dict)
+    ends: dict[int, int] = field(default_factory=dict)  # task -> why its attempt ended
+    starts: dict[int, Place] = field(default_factory=dict)
+    asking: dict[int, int] = field(default_factory=dict)  # task -> zone asked for
+    retry_at: dict[int, float] = field(default_factory=dict)
+    avoid: dict[int, set[int]] = field(default_factory=dict)
+    failed_on: set[int] = field(default_factory=set)
+    errors: int = 0
+    hold_until: float = 0.0
+    finished: int = 0
+    stale: bool = False
+    first_pending: int = 0
+    guaranteed: bool = False
+
+    @property
+    def unfinished(self) -> int:
+        return self.spec.tasks - self.finished
+
+    def pending(self, most: int) -> list[int]:
+        """Up to `most` tasks that wait for a machine."""
+        if self.cancelled or self.final:
+            return []
+        found: list[int] = []
+        i, n = self.first_pending, self.spec.tasks
+        while i < n and self.state[i] == DONE:
+            i += 1
+        self.first_pending = i
+        while i < n and len(found) < most:
+            if self.state[i] == PENDING and i not in self.starts and i not in self.asking:
+                found.append(i)
+            i += 1
+        return found
+
+    def used(self) -> int:
+        """Attempts that may be using a machine: recorded, or about to be."""
+        return len(self.places) + len(self.starts) + len(self.asking)
+
+
+@dataclass(slots=True)
+class Draft:
+    """One job's part of a transaction, and how to make it true once it is durable."""
+
+    job: Job
+    conditions: dict[str, int]
+    changes: list[api.Change]
+    ends: dict[int, int]
+    starts: dict[int, Place]
+    final: str
+    cancel: bool
+    chunks: list[int]
+
+
+def new_job(world: World, spec: JobSpec, shard: int, at_ms: int) -> Job:
+    n = spec.tasks
+    return Job(
+        world.jobs.put(spec.id),
+        spec.id,
+        spec,
+        shard,
+        world.teams.put(spec.team),
+        at_ms,
+        size_of(spec),
+        array("B", bytes(n)),
+        array("I", bytes(4 * n)),
+    )
+
+
+def load_job(world: World, shard: int, main: JobRecord, chunks: dict[int, Chunk]) -> Job:
+    """A job as the state service has it; `chunks` are those beyond the first."""
+    job = new_job(world, main.spec, shard, main.at_ms)
+    job.cancelled = main.cancelled
+    for number, chunk in {0: main.chunk, **chunks}.items():
+        first = number * CHUNK
+        for i in records.unpack_done(chunk.done):
+            job.state[first + i] = DONE
+            job.finished += 1
+        for i, tries in enumerate(chunk.tries):
+            job.tries[first + i] = tries
+        for task, attempt, machine, session, zone in chunk.on:
+            job.state[task] = PLACED
+            owner = machine_shard(machine, zone, world.shard_zones)
+            job.places[task] = Place(
+                world.machines.put(machine), session, attempt, owner, world.zones.put(zone)
+            )
+    return job
+
+
+def encode_chunk(
+    world: World, job: Job, number: int, ends: dict[int, int], starts: dict[int, Place]
+) -> Chunk:
+    """Chunk `number` as it will be once `ends` and `starts` are true."""
+    first = number * CHUNK
+    last = min(first + CHUNK, job.spec.tasks)
+    done = int(records.pack_done(job.state, first, DONE) or "0", 16)
+    for task, why in ends.items():
+        if first <= task < last and why == api.W_DONE:
+            done |= 1 << (task - first)
+    tries = job.tries[first:last]
+    places = {t: p for t, p in job.places.items() if first <= t < last and t not in ends}
+    for task, place in starts.items():
+        if first <= task < last:
+            places[task] = place
+            tries[task - first] = place.attempt
+    return Chunk(
+        records.pack_tries(tries, 0),
+        f"{done:x}" if done else "",
+        [
+            (t, p.attempt, world.machines[p.machine], p.session, world.zones[p.zone])
+            for t, p in places.items()
+        ],
+    )
+
+
+class JobShard:
+    """The jobs of one shard, while this node holds it."""
+
+    def __init__(self, world: World, shard: int, token: int, gen: int) -> None:
+        self.world = world
+        self.shard = shard
+        self.token = token
+        self.base = token
+        self.gen = gen
+        self.jobs: dict[int, Job] = {}
+        self.dirty: set[int] = set()
+        self.finals: dict[str, str] = {}
+        self.final_tasks: dict[str, int] = {}
+        self.seq = 0
+        self.wants_changed = True
+        self.loaded = False
+        self.gens: dict[int, int] = {}
+
+    # --- what is seen
+
+    def apply_view(self, view: pb.View) -> bool:
+        """Judge every recorded attempt on this shard's machines; True if anything changed."""
+        world, now = self.world, self.world.now()
+        # Only the holder our list was made for may say that something is absent.
+        current = self.gens.get(view.shard) == view.gen
+        acked = max(
+            (a.seq for a in view.acks if a.shard == self.shard and a.token == self.base),
+            default=-1,
+        )
+        machines = {world.machines.put(m.id): m for m in view.machines}
+        dead = {world.machines.put(name) for name in view.dead}
+        seen = {
+            (task_key(number, t.task), t.attempt, index): t
+            for index, m in machines.items()
+            for t in m.tasks
+            if (number := world.jobs.get(t.job)) is not None and number in self.jobs
+        }
+        changed = False
+        for job in self.jobs.values():
+            for task, place in job.places.items():
+                if task in job.ends or place.shard != view.shard:
+                    continue
+                machine = machines.get(place.machine)
+                item = seen.get((task_key(job.index, task), place.attempt, place.machine))
+                proof = ""
+                why = api.W_NONE
+                if place.machine in dead and current and view.valid:
+                    proof = "its machine is gone"
+                elif machine is None:
+                    continue
+                elif machine.session > place.session:
+                    proof = "a newer session"
+                elif machine.dead and place.session == machine.session and current and view.valid:
+                    proof = "its machine's lease is over"
+                elif item is not None:
+                    if item.state != place.seen:
+                        place.seen, place.since = item.state, now
+                        changed = True
+                    if item.state == api.EXITED:
+                        why = item.why
+                        proof = f"exit {api.WHY_NAMES.get(why, 'unnamed')}"
+                elif (
+                    current
+                    and machine.fenced
+                    and place.listed_gen == view.gen
+                    and 0 < place.listed <= acked
+                ):
+                    proof = "not started"
+                if proof:
+                    self._end(job, task, place, why, proof)
+                    changed = True
+        return changed
+
+    def _end(self, job: Job, task: int, place: Place, why: int, proof: str) -> None:
+        if job.spec.service and why == api.W_DONE:
+            why = api.W_ERROR
+        job.ends[task] = why
+        self.dirty.add(job.index)
+        log.info(
+            "task %s attempt %d: freed from %s (%s)",
+            api.task_name(job.id, task),
+            place.attempt,
+            self.world.machines[place.machine],
+            proof,
+        )
+        now = self.world.now()
+        if why == api.W_ERROR:
+            job.errors += 1
+            job.failed_on.add(place.machine)
+            job.avoid.setdefault(task, set()).add(place.machine)
+            if len(job.failed_on) >= self.world.tuning.suspect_machines:
+                # It fails wherever it runs: probe seldom, so that it doesn't burn the fleet.
+                job.hold_until = now + min(60.0, 2.0 * 2 ** min(job.errors, 6))
+        elif why == api.W_DONE:
+            job.errors = 0
+            job.failed_on.clear()
+        elif why in (api.W_BUSY, api.W_NO_ROOM, api.W_UNKNOWN):
+            job.retry_at[task] = now + (1.0 if why != api.W_NO_ROOM else 0.2)
+
+    # --- what is wanted
+
+    def wants(self, to_shard: int, to_gen: int, seq: int) -> pb.Wants:
+        """Everything this shard wants of one machine shard."""
+        world = self.world
+        out = pb.Wants(
+            from_shard=self.shard,
+            from_token=self.base,
+            to_shard=to_shard,
+            to_gen=to_gen,
+            seq=seq,
+        )
+        if self.gens.get(to_shard) != to_gen:
+            self.gens[to_shard] = to_gen
+        for job in self.jobs.values():
+            number = -1
+            for task, place in job.places.items():
+                if place.shard != to_shard:
+                    continue
+                if number < 0:
+                    number = len(out.jobs)
+                    out.jobs.append(job_message(job))
+                if place.listed_gen != to_gen:
+                    place.listed, place.listed_gen = seq, to_gen
+                out.items.add(
+                    job=number,
+                    task=task,
+                    attempt=place.attempt,
+                    machine=world.machines[place.machine],
+                    session=place.session,
+                    stop=job.cancelled or place.moving,
+                    grace_s=0.0 if job.cancelled else place.grace_s,
+                )
+        return out
+
+    # --- making it durable
+
+    def draft(self, job: Job) -> Draft | None:
+        """The next write for a job, or None when nothing is to be written."""
+        if job.final or job.stale:
+            return None
+        ends = {t: w for t, w in job.ends.items() if t in job.places}
+        starts = {} if job.cancelled else dict(job.starts)
+        left = len(job.places) - len(ends)
+        finished = job.finished + sum(1 for w in ends.values() if w == api.W_DONE)
+        final = ""
+        if job.cancelled:
+            # Its user was told so: it stays cancelled even when every task completed.
+            final = "" if left else api.CANCELLED
+        elif finished == job.spec.tasks:
+            final = api.DONE
+        main = records.job_key(self.shard, job.id)
+        holder = records.shard_key(self.shard)
+        conditions = {holder: self.token, main: job.versions[0]}
+        if final:
+            key = records.final_key(self.shard, job.id)
+            value = records.FinalRecord(final, job.spec.tasks)
+            return Draft(job, conditions, [put(key, value), drop(main)], ends, {}, final, False, [])
+        if not ends and not starts:
+            return None
+        chunks = sorted({t // CHUNK for t in (*ends, *starts)})[:8]
+        ends = {t: w for t, w in ends.items() if t // CHUNK in chunks}
+        starts = {t: p for t, p in starts.items() if t // CHUNK in chunks}
+        changes = []
+        for number in chunks:
+            chunk = encode_chunk(self.world, job, number, ends, starts)
+            if number == 0:
+                record = JobRecord(job.spec, job.at_ms, job.cancelled, chunk)
+                changes.append(put(main, record))
+            else:
+                key = records.chunk_key(self.shard, job.id, number)
+                conditions[key] = job.versions.get(number, 0)
+                changes.append(put(key, chunk))
+        return Draft(job, conditions, changes, ends, starts, "", False, chunks)
+
+    def draft_cancel(self, job: Job) -> Draft:
+        """A cancellation, written before it is answered."""
+        main = records.job_key(self.shard, job.id)
+        conditions = {records.shard_key(self.shard): self.token, main: job.versions[0]}
+        record = JobRecord(job.spec, job.at_ms, True, encode_chunk(self.world, job, 0, {}, {}))
+        return Draft(job, conditions, [put(main, record)], {}, {}, "", True, [0])
+
+    def commit(self, draft: Draft, revision: int) -> None:
+        """The draft is durable: make it true here."""
+        job = draft.job
+        if draft.final:
+            job.final = draft.final
+            job.finished = job.spec.tasks if draft.final == api.DONE else job.finished
+            job.places.clear()
+            self.finals[job.id] = draft.final
+            self.final_tasks[job.id] = job.spec.tasks
+            self.jobs.pop(job.index, None)
+            self.dirty.discard(job.index)
+            self.wants_changed = True
+            log.info("job %s: %s", job.id, draft.final)
+            return
+        for number in draft.chunks:
+            job.versions[number] = revision
+        if draft.cancel:
+            job.cancelled = True
+            job.starts.clear()
+            self.wants_changed = True
+            self.dirty.add(job.index)
+            log.info("job %s: cancelled, %d tasks to stop", job.id, len(job.places))
+        for task, why in draft.ends.items():
+            job.places.pop(task, None)
+            if job.ends.get(task) == why:
+                del job.ends[task]
+            if why == api.W_DONE:
+                job.state[task] = DONE
+                job.finished += 1
+            else:
+                job.state[task] = PENDING
+                job.first_pending = min(job.first_pending, task)
+            self.wants_changed = True
+        for task, place in draft.starts.items():
+            if job.starts.get(task) is place:
+                del job.starts[task]
+            job.places[task] = place
+            job.state[task] = PLACED
+            job.tries[task] = place.attempt
+            self.wants_changed = True
+            log.info(
+                "task %s attempt %d: placed on %s",
+                api.task_name(job.id, task),
+                place.attempt,
+                self.world.machines[place.machine],
+            )
+
+    def status(self, job: Job) -> api.JobStatus:
+        running = sum(1 for p in job.places.values() if p.seen in (api.ON, api.SAVING))
+        state = api.CANCELLED if job.cancelled else api.RUNNING if running else api.QUEUED
+        return api.JobStatus(job.id, state, job.finished, running)
+
+
+def job_message(job: Job) -> pb.Job:
+    spec = job.spec
+    return pb.Job(
+        id=job.id,
+        team=job.team,
+        rank=spec.rank,
+        cpus=spec.cpus,
+        gpus=spec.gpus,
+        memory_gb=spec.memory_gb,
+        image=spec.image,
+        image_gb=spec.image_gb,
+        checkpoint_s=spec.checkpoint_s,
+        save_s=spec.save_s,
+        service=spec.service,
+        estimate_s=spec.estimate_s,
+        spot=spec.spot,
+        guaranteed=job.guaranteed,
+    )
--- /dev/null
+++ b/starlingdeck/coordination/machines.py
@@ -0,0 +1,589 @@
+"""A machine shard: its workers' reports, its commands to them, and its room.
+
+The job shards say what they want here (`Wants`); reports say what is. `reconcile`
+works out the difference, and may be repeated at any time. What is seen goes back to
+the job shards as a `View`.
+"""
+
+import logging
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from starlingdeck.coordination.names import split_key, task_key
+from starlingdeck.coordination.shards import job_shard
+from starlingdeck.coordination.world import Size, World, total_of
+from starlingdeck.protocol import api
+from starlingdeck.protocol import peer_pb2 as pb
+
+log = logging.getLogger(__name__)
+
+
+@dataclass(slots=True)
+class JobInfo:
+    """What a machine's owner must know of a job that runs there."""
+
+    team: int
+    rank: int
+    size: Size
+    image: str
+    image_gb: float
+    checkpoint_s: float
+    save_s: float
+    service: bool
+    spot: bool
+    guaranteed: bool
+
+
+@dataclass(slots=True)
+class Seen:
+    """A task as the newest report has it."""
+
+    attempt: int
+    state: int
+    why: int
+    saved: bool
+    since: float
+
+
+@dataclass(slots=True)
+class Launch:
+    """A start that no report has shown yet. `sent` counts tries to deliver it."""
+
+    attempt: int
+    asked: float
+    sent: int = 0
+
+
+@dataclass(slots=True)
+class Want:
+    attempt: int
+    session: int
+    stop: bool
+    grace_s: float
+
+
+@dataclass(slots=True)
+class Hold:
+    """Room kept for a task whose record is being written."""
+
+    attempt: int
+    until: float
+
+
+@dataclass(slots=True)
+class Machine:
+    index: int
+    name: str
+    address: str
+    type: int
+    zone: int
+    spot: bool
+    session: int
+    seq: int
+    token: int
+    heard: float
+    answered: float
+    first: float
+    notice_until: float | None = None
+    tasks: dict[int, Seen] = field(default_factory=dict)
+    launches: dict[int, Launch] = field(default_factory=dict)
+    holds: dict[int, Hold] = field(default_factory=dict)
+    refused: set[tuple[int, int]] = field(default_factory=set)
+    evict: dict[int, float] = field(default_factory=dict)
+    images: dict[str, float] = field(default_factory=dict)
+    doubt: int = 0
+    dead: bool = False
+    draining: bool = False
+    errors: set[tuple[int, int]] = field(default_factory=set)
+    busy: bool = False
+    retry_at: float = 0.0
+    empty_since: float = 0.0
+
+
+class MachineShard:
+    """The machines of one shard, while this node holds it."""
+
+    def __init__(self, world: World, shard: int, token: int, gen: int, wait_s: float) -> None:
+        self.world = world
+        self.shard = shard
+        self.token = token
+        self.base = token
+        self.gen = gen
+        # Until then another node may have been renewing the leases of our silent workers.
+        self.quiet_until = world.now() + wait_s + world.silence_s
+        self.machines: dict[int, Machine] = {}
+        self.jobs: dict[int, JobInfo] = {}
+        self.wants: dict[int, dict[int, dict[int, Want]]] = {}
+        self.acks: dict[int, tuple[int, int]] = {}
+        self.gone: set[int] = set()
+        self.job_errors: dict[int, set[int]] = {}
+        self.seq = 0
+        self.changed = True
+
+    # --- what job shards want
+
+    def apply_wants(self, msg: pb.Wants) -> bool:
+        """Take a job shard's list over the one before. False when it is not for us or old."""
+        # A list made for an earlier holder may come late: it could name finished tasks.
+        if msg.to_gen != self.gen or (msg.from_token, msg.seq) < self.acks.get(
+            msg.from_shard, (0, 0)
+        ):
+            return False
+        if (msg.from_token, msg.seq) == self.acks.get(msg.from_shard):
+            return True
+        indices = [self._learn(job) for job in msg.jobs]
+        table: dict[int, dict[int, Want]] = {}
+        for item in msg.items:
+            machine = self.world.machines.put(item.machine)
+            key = task_key(indices[item.job], item.task)
+            table.setdefault(machine, {})[key] = Want(
+                item.attempt, item.session, item.stop, item.grace_s
+            )
+        self.wants[msg.from_shard] = table
+        self.acks[msg.from_shard] = (msg.from_token, msg.seq)
+        self.changed = True
+        return True
+
+    def _learn(self, job: pb.Job) -> int:
+        index = self.world.jobs.put(job.id)
+        self.jobs[index] = JobInfo(
+            job.team,
+            job.rank,
+            (job.cpus, job.gpus, job.memory_gb),
+            job.image,
+            job.image_gb,
+            job.checkpoint_s,
+            job.save_s,
+            job.service,
+            job.spot,
+            job.guaranteed,
+        )
+        return index
+
+    def want_of(self, machine: int, key: int) -> Want | None:
+        shard = job_shard(self.world.jobs[split_key(key)[0]], self.world.shards)
+        return self.wants.get(shard, {}).get(machine, {}).get(key)
+
+    def synced(self, key: int) -> bool:
+        return job_shard(self.world.jobs[split_key(key)[0]], self.world.shards) in self.acks
+
+    # --- reports
+
+    def take_report(self, report: api.Report, renews: bool) -> Machine:
+        """Note a report or the body of a command's answer; old ones change nothing."""
+        world, now = self.world, self.world.now()
+        index = world.machines.put(report.machine)
+        machine = self.machines.get(index)
+        if machine is None:
+            machine = self.machines[index] = Machine(
+                index,
+                report.machine,
+                report.addr,
+                world.type_names.put(report.type),
+                world.zones.put(report.zone),
+                report.spot,
+                0,
+                0,
+                0,
+                now,
+                now,
+                now,
+                empty_since=now,
+            )
+            log.info("machine %s: first report, session %d", report.machine, report.session)
+        if renews:
+            machine.answered = now
+        if (report.session, report.seq) <= (machine.session, machine.seq):
+            return machine
+        before = (machine.dead, machine.session, machine.notice_until is None)
+        if report.session != machine.session:
+            # A new session is proof that all before it ended; nothing sent then can act now.
+            machine.launches.clear()
+            machine.refused.clear()
+            machine.evict.clear()
+            machine.doubt = 0
+            if machine.session:
+                log.info("machine %s: session %d began", machine.name, report.session)
+        machine.session, machine.seq = report.session, report.seq
+        machine.heard = now
+        machine.dead = False
+        was_fenced = machine.token >= self.base
+        machine.token = max(machine.token, report.token)
+        if machine.doubt and machine.token > machine.doubt:
+            machine.doubt = 0
+            self.changed = True
+        if report.notice_s is not None and machine.notice_until is None:
+            machine.notice_until = now + report.notice_s
+            machine.draining = True
+            log.info("machine %s: taken in %.0f s", machine.name, report.notice_s)
+        elif report.notice_s is None:
+            machine.notice_until = None
+        changed = self._take_tasks(machine, report, now)
+        changed |= before != (machine.dead, machine.session, machine.notice_until is None)
+        changed |= was_fenced != (machine.token >= self.base)
+        self.changed |= changed
+        return machine
+
+    def _take_tasks(self, machine: Machine, report: api.Report, now: float) -> bool:
+        world = self.world
+        seen: dict[int, Seen] = {}
+        changed = False
+        for item in report.tasks:
+            job, number = api.parse_task(item.task)
+            state = api.STATE_CODES.get(item.state, api.ON)
+            if number < 0:
+                log.error("machine %s reports a task called %r", machine.name, item.task)
+                continue
+            index = world.jobs.put(job)
+            key = task_key(index, number)
+            why = api.WHY_CODES.get(item.why or "", api.W_NONE)
+            old = machine.tasks.get(key)
+            same = old is not None and old.attempt == item.attempt and old.state == state
+            entry = Seen(item.attempt, state, why, bool(item.saved), now)
+            if same and old is not None:
+                entry.since = old.since
+            else:
+                changed = True
+                self._judge(machine, index, key, entry)
+            kept = seen.get(key)
+            # After a restart under a new attempt both may be listed; the live one counts.
+            if kept is None or kept.state == api.EXITED:
+                seen[key] = entry
+            launch = machine.launches.get(key)
+            if launch is not None and launch.attempt == item.attempt:
+                del machine.launches[key]
+                changed = True
+            info = self.jobs.get(index)
+            if info is not None and state in (api.ON, api.SAVING):
+                machine.images[info.image] = now
+        if len(seen) != len(machine.tasks):
+            changed = True
+        live = any(s.state != api.EXITED for s in seen.values())
+        if live or machine.launches or machine.holds:
+            machine.empty_since = now
+        machine.tasks = seen
+        for key in [k for k in machine.evict if k not in seen]:
+            del machine.evict[key]
+        return changed
+
+    def _judge(self, machine: Machine, job: int, key: int, seen: Seen) -> None:
+        """Tell machines that fail every task from jobs that fail on every machine."""
+        if seen.state != api.EXITED:
+            return
+        if seen.why == api.W_DONE:
+            machine.errors.clear()
+        elif seen.why == api.W_ERROR:
+            where = self.job_errors.setdefault(job, set())
+            where.add(machine.index)
+            machine.errors.add((key, seen.attempt))
+            counted = [
+                e for e in machine.errors if len(self.job_errors.get(split_key(e[0])[0], ())) <= 2
+            ]
+            if len(counted) >= self.world.tuning.sick_errors and not machine.draining:
+                machine.draining = True
+                log.info("machine %s: sick, %d errors in a row", machine.name, len(counted))
+
+    def commands_after(self, machine: Machine, reaps: bool) -> list[api.Command]:
+        """Stops and reaps that the newest report calls for. Launches go by `/do` only."""
+        world, out = self.world, []
+        for key, seen in machine.tasks.items():
+            job, number = split_key(key)
+            name = api.task_name(world.jobs[job], number)
+            want = self.want_of(machine.index, key)
+            mine = want is not None and want.attempt == seen.attempt
+            if seen.state == api.EXITED:
+                # Reap only what the job's record no longer has here, and only when no
+                # start of this attempt can still arrive.
+                if reaps and not mine and self.synced(key) and self.fenced(machine):
+                    out.append(api.Command(api.FORGET, name, seen.attempt))
+            elif mine and want is not None and want.stop:
+                out.append(api.Command(api.STOP, name, seen.attempt, want.grace_s))
+            elif key in machine.evict:
+                if seen.state != api.SAVING:
+                    out.append(api.Command(api.STOP, name, seen.attempt, machine.evict[key]))
+            elif not mine and self.synced(key):
+                out.append(api.Command(api.STOP, name, seen.attempt, 0.0))
+        return out
+
+    # --- proof
+
+    def fenced(self, machine: Machine) -> bool:
+        """Nothing sent under an older token, or sent without an answer, can still act."""
+        return machine.token >= self.base and machine.doubt == 0
+
+    def check_silence(self) -> None:
+        """Mark machines whose every session until now must be over."""
+        world, now = self.world, self.world.now()
+        for machine in self.machines.values():
+            silent = now - machine.answered
+            if not machine.dead and silent > world.silence_s:
+                machine.dead = True
+                machine.launches.clear()
+                self.changed = True
+                log.info("machine %s: silent for %.1f s, its lease is over", machine.name, silent)
+
+    def mark_deleted(self, name: str) -> None:
+        """The cloud answered 200: the machine and everything on it are gone."""
+        index = self.world.machines.put(name)
+        if index not in self.gone:
+            self.gone.add(index)
+            self.machines.pop(index, None)
+            self.changed = True
+
+    def unheard(self) -> Iterable[int]:
+        """Machines that jobs name and that are proven gone without ever reporting here."""
+        late = self.world.now() > self.quiet_until
+        named = {m for table in self.wants.values() for m in table}
+        return [m for m in named if m in self.gone or (late and m not in self.machines)]
+
+    # --- room
+
+    def total(self, machine: Machine) -> Size | None:
+        kind = self.world.types.get(machine.type)
+        return None if kind is None else total_of(kind)
+
+    def free(self, machine: Machine) -> list[float] | None:
+        """Room by what the reports show and what was promised; None while it is not known."""
+        total = self.total(machine)
+        if total is None:
+            return None
+        left = list(total)
+        held = {k for k, s in machine.tasks.items() if s.state != api.EXITED}
+        held |= machine.launches.keys() | machine.holds.keys()
+        for key in held:
+            info = self.jobs.get(split_key(key)[0])
+            if info is None:
+                return None
+            for d in range(3):
+                left[d] -= info.size[d]
+        return left
+
+    def drawable(self, machine: Machine) -> bool:
+        fresh = 2.5 * self.world.settings.settings.workers.report_s + 0.5
+        return (
+            not machine.dead
+            and not machine.draining
+            and machine.token >= self.base
+            and self.world.now() - machine.heard < fresh
+        )
+
+    def reserve(self, msg: pb.Reserve) -> pb.Reserved:
+        """Keep room for tasks about to be recorded; says for which of them."""
+        out = pb.Reserved()
+        if msg.to_gen != self.gen:
+            return out
+        job = self._learn(msg.job)
+        info = self.jobs[job]
+        until = self.world.now() + self.world.tuning.reserve_s
+        for spot in msg.spots:
+            machine = self.machines.get(self.world.machines.put(spot.machine))
+            if machine is None or not self.drawable(machine):
+                continue
+            key = task_key(job, spot.task)
+            if key in machine.tasks or key in machine.launches:
+                continue
+            free = self.free(machine)
+            if free is None:
+                continue
+            if all(s <= f + 1e-9 for s, f in zip(info.size, free, strict=True)):
+                machine.holds[key] = Hold(spot.attempt, until)
+                out.given.add(task=spot.task, attempt=spot.attempt, session=machine.session)
+            elif msg.preempt and self._evict_for(machine, info, free):
+                out.given.add(task=spot.task, attempt=spot.attempt, evicting=True)
+        self.changed = True
+        return out
+
+    def _evict_for(self, machine: Machine, info: JobInfo, free: list[float]) -> bool:
+        """Stop lower work until the size fits. True when stops under way will make room."""
+        left = list(free)
+        chosen: list[int] = []
+        victims = []
+        for key, seen in machine.tasks.items():
+            other = self.jobs.get(split_key(key)[0])
+            if seen.state == api.EXITED or other is None:
+                continue
+            if key in machine.evict or seen.state == api.SAVING:
+                left = [a + b for a, b in zip(left, other.size, strict=True)]
+            elif may_preempt(info, other):
+                victims.append((other.guaranteed, other.rank, -seen.since, key, other))
+        victims.sort(key=lambda v: v[:4])
+        for _, _, _, key, other in victims:
+            if all(s <= f + 1e-9 for s, f in zip(info.size, left, strict=True)):
+                break
+            chosen.append(key)
+            left = [a + b for a, b in zip(left, other.size, strict=True)]
+        if not all(s <= f + 1e-9 for s, f in zip(info.size, left, strict=True)):
+            return False
+        for key in chosen:
+            other = self.jobs[split_key(key)[0]]
+            machine.evict[key] = other.save_s + 1.0 if other.checkpoint_s > 0 else 0.0
+            job, number = split_key(key)
+            log.info(
+                "task %s: preempted on %s",
+                api.task_name(self.world.jobs[job], number),
+                machine.name,
+            )
+        return True
+
+    # --- commands
+
+    def reconcile(self) -> list[Machine]:
+        """Turn wants into launches or refusals; returns machines with something to send."""
+        now = self.world.now()
+        busy: list[Machine] = []
+        for machine in self.machines.values():
+            for key in [k for k, h in machine.holds.items() if h.until < now]:
+                del machine.holds[key]
+                self.changed = True
+            if machine.dead:
+                continue
+            stops = False
+            listed: set[int] = set()
+            for table in self.wants.values():
+                for key, want in table.get(machine.index, {}).items():
+                    seen = machine.tasks.get(key)
+                    if not want.stop:
+                        listed.add(key)
+                        self._consider(machine, key, want, seen, now)
+                    elif seen is not None:
+                        stops |= seen.state in (api.FETCHING, api.ON)
+                    elif key not in machine.launches:
+                        machine.refused.add((key, want.attempt))
+            machine.refused = {
+                (key, attempt)
+                for key, attempt in machine.refused
+                if (w := self.want_of(machine.index, key)) and w.attempt == attempt
+            }
+            self._forget_launches(machine, listed)
+            stops |= any(
+                key in machine.evict and s.state in (api.FETCHING, api.ON)
+                for key, s in machine.tasks.items()
+            )
+            starts = any(key in listed for key in machine.launches)
+            if (starts or stops) and not machine.busy and machine.retry_at <= now:
+                busy.append(machine)
+        return busy
+
+    def _forget_launches(self, machine: Machine, listed: set[int]) -> None:
+        """Drop starts that are not wanted any more, once they can't act any more."""
+        for key, launch in list(machine.launches.items()):
+            if key in listed:
+                continue
+            if not launch.sent or (not machine.busy and machine.doubt == 0):
+                del machine.launches[key]
+                machine.refused.add((key, launch.attempt))
+                self.changed = True
+
+    def _consider(
+        self, machine: Machine, key: int, want: Want, seen: Seen | None, now: float
+    ) -> None:
+        if (seen is not None and seen.attempt == want.attempt) or want.session != machine.session:
+            return
+        if key in machine.launches or (key, want.attempt) in machine.refused:
+            return
+        hold = machine.holds.pop(key, None)
+        free = self.free(machine)
+        info = self.jobs[split_key(key)[0]]
+        fits = free is not None and all(s <= f + 1e-9 for s, f in zip(info.size, free, strict=True))
+        if hold is None and not fits:
+            # A refusal stands while the want does: the job shard may free the task on it.
+            machine.refused.add((key, want.attempt))
+            self.changed = True
+            return
+        machine.launches[key] = Launch(want.attempt, now)
+        self.changed = True
+
+    def orders(self, machine: Machine, starts: bool) -> api.Commands:
+        """What to send by `/do` now. Marks launches as sent, before they are."""
+        world = self.world
+        commands = [c for c in self.commands_after(machine, starts) if c.op != api.FORGET]
+        if starts:
+            for key, launch in machine.launches.items():
+                want = self.want_of(machine.index, key)
+                if want is None or want.stop:
+                    continue
+                job, number = split_key(key)
+                name = api.task_name(world.jobs[job], number)
+                old = machine.tasks.get(key)
+                if old is not None and old.state == api.EXITED and self.fenced(machine):
+                    commands.append(api.Command(api.FORGET, name, old.attempt))
+                launch.sent += 1
+                commands.append(api.Command(api.START, name, launch.attempt))
+                if launch.sent == 1:
+                    log.info("task %s attempt %d: start on %s", name, launch.attempt, machine.name)
+        return api.Commands(self.token, machine.session, commands)
+
+    def unanswered(self, machine: Machine, orders: api.Commands, maybe: bool) -> None:
+        """`/do` got no answer; if it was sent it may act at any later time."""
+        starts = any(c.op == api.START for c in orders.commands)
+        if maybe and starts and orders.session == machine.session:
+            machine.doubt = max(machine.doubt, orders.token)
+            log.info("machine %s: a start got no answer, to be fenced", machine.name)
+        machine.retry_at = self.world.now() + 0.5
+
+    def refused_orders(self, machine: Machine, orders: api.Commands) -> None:
+        """409: nothing was executed. Launches of an older session are over."""
+        if orders.session != machine.session:
+            machine.launches.clear()
+        machine.retry_at = self.world.now() + 0.3
+
+    def needs_new_token(self) -> bool:
+        """A start without an answer must be fenced before its task can be called gone."""
+        return any(
+            m.doubt >= self.token and not m.dead and self.world.now() - m.heard < 3
+            for m in self.machines.values()
+        )
+
+    # --- the view
+
+    def view(self, valid: bool) -> pb.View:
+        world = self.world
+        self.seq += 1
+        self.changed = False
+        out = pb.View(shard=self.shard, gen=self.gen, seq=self.seq, valid=valid)
+        for shard, (token, seq) in self.acks.items():
+            out.acks.add(shard=shard, token=token, seq=seq)
+        out.dead.extend(world.machines[m] for m in self.unheard())
+        for m in self.machines.values():
+            free = self.free(m)
+            entry = out.machines.add(
+                id=m.name,
+                address=m.address,
+                type=world.type_names[m.type],
+                zone=world.zones[m.zone],
+                spot=m.spot,
+                session=m.session,
+                fenced=valid and self.fenced(m),
+                dead=m.dead,
+                drawable=valid and free is not None and self.drawable(m),
+                images=list(m.images),
+                draining=m.draining,
+                notice=m.notice_until is not None,
+                silent_s=world.now() - m.heard,
+                idle_s=world.now() - m.empty_since,
+            )
+            if free is not None:
+                entry.free_cpus, entry.free_gpus, entry.free_memory_gb = free
+            for key, seen in m.tasks.items():
+                job, number = split_key(key)
+                entry.tasks.add(
+                    job=world.jobs[job],
+                    task=number,
+                    attempt=seen.attempt,
+                    state=seen.state,
+                    why=seen.why,
+                    saved=seen.saved,
+                )
+            for key, launch in m.launches.items():
+                job, number = split_key(key)
+                entry.tasks.add(
+                    job=world.jobs[job], task=number, attempt=launch.attempt, state=api.PENDING
+                )
+        return out
+
+
+def may_preempt(new: JobInfo, old: JobInfo) -> bool:
+    """PROTOCOL, "Preemption": higher rank, or a guarantee against another team's surplus."""
+    if new.rank > old.rank:
+        return not (old.guaranteed and not new.guaranteed)
+    return new.guaranteed and not old.guaranteed and new.team != old.team
--- /dev/null
+++ b/starlingdeck/coordination/membership.py
@@ -0,0 +1,279 @@
+"""Who holds which shard: one lease a node, one key a shard, and this node's part in it."""
+
+import logging
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+
+import curio
+import msgspec
+
+from starlingdeck.coordination.shards import heirs
+from starlingdeck.coordination.world import DRIFT, World
+from starlingdeck.protocol import api
+from starlingdeck.storage import records
+from starlingdeck.storage.records import NodeValue, ShardValue
+from starlingdeck.storage.state import (
+    Conflict,
+    LeaseLost,
+    StateClient,
+    StateError,
+    TooOld,
+    drop,
+    put,
+)
+
+log = logging.getLogger(__name__)
+
+TURN_S = 0.4  # how much later each next heir moves
+GRACE_S = 1.5  # how long others leave an absent shard to its own controller
+HAND_BACK_S = 4.0  # how long a returned controller must live before it gets its shard back
+
+
+@dataclass(slots=True, frozen=True)
+class Holder:
+    node: int
+    token: int
+    gen: int
+
+
+@dataclass(slots=True)
+class Hooks:
+    """What the node does when its holdings or the cluster's keys change."""
+
+    gained: Callable[[int, int, int, float], Awaitable[None]]
+    lost: Callable[[int], Awaitable[None]]
+    raised: Callable[[int, int], Awaitable[None]]
+    key: Callable[[api.Event], Awaitable[None]]
+    may_hand_back: Callable[[int], bool]
+
+
+class Membership:
+    def __init__(self, world: World, state: StateClient, hooks: Hooks) -> None:
+        self.world = world
+        self.state = state
+        self.hooks = hooks
+        self.ttl = world.tuning.state_lease_s
+        self.lease = 0
+        self.renewed = -1e9
+        self.boot = world.rng.getrandbits(48)
+        self.held: dict[int, Holder] = {}
+        self.holders: dict[int, Holder] = {}
+        self.present: dict[int, tuple[int, ShardValue]] = {}
+        self.living: dict[int, float] = {}
+        self.absent: dict[int, float] = {}
+        self.synced = False
+        self.revision = 0
+
+    # --- what this node may do
+
+    def valid(self) -> bool:
+        """No other node can have taken a shard of ours: our lease surely stands."""
+        return self.lease > 0 and self.world.now() < self.renewed + self.ttl / DRIFT - 0.2
+
+    def may_renew_workers(self) -> bool:
+        """Cut off from the state service, leases of workers are kept for a bounded time."""
+        return self.lease > 0 and self.world.now() < self.renewed + max(
+            self.ttl / DRIFT - 0.2, self.world.outage_s
+        )
+
+    def note_holder(self, shard: int, holder: Holder) -> bool:
+        """Learn of a holder from keys or peers; a higher token wins. True if it is news."""
+        known = self.holders.get(shard)
+        if known is not None and known.token >= holder.token:
+            return False
+        self.holders[shard] = holder
+        return known is None or known.gen != holder.gen
+
+    # --- loops
+
+    async def renew_loop(self) -> None:
+        while True:
+            sent = self.world.now()
+            try:
+                if not self.lease:
+                    lease = await self.state.lease(self.ttl)
+                    self.lease, self.renewed = lease, sent
+                    await self._announce()
+                else:
+                    await self.state.renew(self.lease)
+                    self.renewed = sent
+            except LeaseLost:
+                log.info("our state lease ended")
+                self.lease = 0
+                await self._drop_all()
+                continue
+            except (StateError, Conflict) as fault:
+                log.info("state lease not renewed: %s", fault)
+                await curio.sleep(0.2 + 0.2 * self.world.rng.random())
+                continue
+            await curio.sleep(self.ttl / 4)
+
+    async def _announce(self) -> None:
+        value = NodeValue(self.world.node, self.boot)
+        await self.state.txn({}, [put(records.node_key(self.world.node), value, self.lease)], True)
+
+    async def watch_loop(self) -> None:
+        while True:
+            try:
+                if not self.synced:
+                    await self._read_all()
+                events = await self.state.watch(records.CLUSTER, self.revision, 10.0)
+                for event in events.events:
+                    await self._event(event)
+                self.revision = max(self.revision, events.revision)
+            except TooOld:
+                self.synced = False
+            except StateError as fault:
+                log.info("watch failed: %s", fault)
+                await curio.sleep(0.3 + 0.3 * self.world.rng.random())
+                self.synced = False
+
+    async def _read_all(self) -> None:
+        entries, revision = await self.state.read(records.CLUSTER)
+        keys = {e.key for e in entries}
+        for shard in range(self.world.shards):
+            if records.shard_key(shard) not in keys:
+                await self._event(api.Event(delete=records.shard_key(shard), version=revision))
+        for node in list(self.living):
+            if records.node_key(node) not in keys:
+                del self.living[node]
+        for entry in entries:
+            await self._event(api.Event(put=entry.key, value=entry.value, version=entry.version))
+        self.revision = revision
+        self.synced = True
+
+    async def _event(self, event: api.Event) -> None:
+        key = event.put or event.delete or ""
+        try:
+            if key.startswith(records.NODES):
+                self._node_event(int(key[len(records.NODES) :]), event)
+            elif key.startswith(records.SHARDS):
+                await self._shard_event(int(key[len(records.SHARDS) :]), event)
+            else:
+                await self.hooks.key(event)
+        except (ValueError, msgspec.DecodeError) as fault:
+            log.error("nonsense under %s: %s", key, fault)
+
+    def _node_event(self, node: int, event: api.Event) -> None:
+        if event.put:
+            self.living.setdefault(node, self.world.now())
+        else:
+            self.living.pop(node, None)
+            if node == self.world.node and self.lease:
+                log.info("our node key is gone")
+
+    async def _shard_event(self, shard: int, event: api.Event) -> None:
+        mine = self.held.get(shard)
+        if not event.put:
+            if mine is not None and event.version > mine.token:
+                await self._drop(shard)
+            if shard not in self.held:
+                self.present.pop(shard, None)
+                self.absent.setdefault(shard, self.world.now())
+            return
+        value = msgspec.json.decode(event.value, type=ShardValue)
+        if mine is not None and event.version <= mine.token:
+            return
+        if mine is not None and value.gen == mine.gen:
+            # A raise of ours that got no answer was executed after all.
+            await self._raised(shard, event.version)
+            return
+        if mine is not None:
+            await self._drop(shard)
+        self.present[shard] = (event.version, value)
+        self.absent.pop(shard, None)
+        self.note_holder(shard, Holder(value.node, event.version, value.gen))
+
+    async def own_loop(self) -> None:
+        while True:
+            await curio.sleep(0.1)
+            if not (self.synced and self.lease and self.valid()):
+                continue
+            for shard in range(self.world.shards):
+                try:
+                    await self._consider(shard)
+                except (StateError, LeaseLost, Conflict) as fault:
+                    log.info("shard %d: %r", shard, fault)
+                    self.synced = False
+                    await curio.sleep(0.1)
+
+    async def _consider(self, shard: int) -> None:
+        now, me = self.world.now(), self.world.node
+        if shard in self.held:
+            back = self.living.get(shard)
+            if (
+                shard != me
+                and back is not None
+                and now - back > HAND_BACK_S
+                and self.hooks.may_hand_back(shard)
+            ):
+                await self._hand_back(shard)
+            return
+        there = self.present.get(shard)
+        if there is not None:
+            # Our name, but not held by this process: it died, and we are its restart.
+            if there[1].node == me:
+                await self._take(shard, there[0], 0.0)
+            return
+        since = self.absent.setdefault(shard, now)
+        order = heirs(shard, self.world.shard_zones, sorted({*self.living, me}))
+        turn = order.index(me)
+        wait = 0.0 if shard == me else turn * TURN_S + GRACE_S
+        if now - since >= wait:
+            await self._take(shard, 0, self.world.outage_s)
+
+    async def _take(self, shard: int, version: int, wait_s: float) -> None:
+        gen = self.world.rng.getrandbits(60)
+        key = records.shard_key(shard)
+        change = put(key, ShardValue(self.world.node, gen), self.lease)
+        token = await self.state.txn({key: version}, [change], True)
+        holder = Holder(self.world.node, token, gen)
+        self.held[shard] = holder
+        self.holders[shard] = holder
+        self.present.pop(shard, None)
+        self.absent.pop(shard, None)
+        log.info("shard %d: taken over with token %d", shard, token)
+        await self.hooks.gained(shard, token, gen, wait_s)
+
+    async def raise_token(self, shard: int) -> None:
+        """Rewrite the shard's key, so that its stamp and with it our token rises."""
+        mine = self.held.get(shard)
+        if mine is None:
+            return
+        key = records.shard_key(shard)
+        change = put(key, ShardValue(mine.node, mine.gen), self.lease)
+        token = await self.state.txn({key: mine.token}, [change], True)
+        await self._raised(shard, token)
+
+    async def _raised(self, shard: int, token: int) -> None:
+        mine = self.held.get(shard)
+        if mine is not None and token > mine.token:
+            self.held[shard] = self.holders[shard] = Holder(mine.node, token, mine.gen)
+            log.info("shard %d: token raised to %d", shard, token)
+            await self.hooks.raised(shard, token)
+
+    async def _hand_back(self, shard: int) -> None:
+        mine = self.held[shard]
+        log.info("shard %d: handed back", shard)
+        await self._drop(shard)
+        self.absent[shard] = self.world.now()
+        await self.state.txn(
+            {records.shard_key(shard): mine.token}, [drop(records.shard_key(shard))], True
+        )
+
+    async def _drop(self, shard: int) -> None:
+        if self.held.pop(shard, None) is not None:
+            log.info("shard %d: no longer ours", shard)
+            await self.hooks.lost(shard)
+
+    async def _drop_all(self) -> None:
+        for shard in list(self.held):
+            await self._drop(shard)
+        self.synced = False
+
+    async def seen_elsewhere(self, shard: int, holder: Holder) -> None:
+        """A peer says that a shard has a newer holder."""
+        mine = self.held.get(shard)
+        if mine is not None and holder.token > mine.token and holder.gen != mine.gen:
+            await self._drop(shard)
+        self.note_holder(shard, holder)
--- /dev/null
+++ b/starlingdeck/coordination/node.py
@@ -0,0 +1,710 @@
+"""One controller: its loops, and the wiring between its parts."""
+
+import logging
+from collections.abc import Callable
+
+import curio
+import msgspec
+
+from starlingdeck.coordination import scheduler
+from starlingdeck.coordination.cloud import CloudClient, CloudError, Fleet, learn_types
+from starlingdeck.coordination.fleet import Demand
+from starlingdeck.coordination.jobs import Job, JobShard, Place, job_message
+from starlingdeck.coordination.machines import Machine, MachineShard
+from starlingdeck.coordination.membership import Holder, Hooks, Membership
+from starlingdeck.coordination.peers import PeerDown, Peers, pack, unpack
+from starlingdeck.coordination.placement import Room
+from starlingdeck.coordination.scheduler import Pick, TeamJob
+from starlingdeck.coordination.shards import machine_shard
+from starlingdeck.coordination.users import Users, fault
+from starlingdeck.coordination.world import World, total_of
+from starlingdeck.coordination.writer import Writer
+from starlingdeck.protocol import api
+from starlingdeck.protocol import peer_pb2 as pb
+from starlingdeck.protocol.settings import split_address
+from starlingdeck.storage import records
+from starlingdeck.storage.limiter import Limiter
+from starlingdeck.storage.state import Conflict, LeaseLost, StateClient, StateError, StateLimit
+from starlingdeck.storage.state import drop as drop_key
+from starlingdeck.storage.state import put as put_key
+from starlingdeck.transport.client import HttpClient, NoAnswer, NotSent
+from starlingdeck.transport.frames import FrameServer
+from starlingdeck.transport.server import HttpServer, Request, Response
+
+log = logging.getLogger(__name__)
+
+TICK_S = 0.1
+VIEW_EVERY_S = 0.05
+REPEAT_S = 1.0
+DETOUR_AFTER_S = 1.5
+DETOUR_EVERY_S = 2.0
+DELETED_KEPT_S = 60.0
+
+
+class Node:
+    def __init__(self, world: World) -> None:
+        self.world = world
+        s = world.settings
+        limits = s.settings.machine_limits
+        self.http = HttpClient(max_idle=4, max_open=max(16, limits.max_connections // 4))
+        budget = StateLimit(
+            s.settings.state.rps, s.settings.state.write_rps, world.shards, world.now
+        )
+        self.state = StateClient(self.http, s.external.state, budget, world.now)
+        cloud_share = Limiter(s.settings.cloud.rps * 0.6, 1.0, world.now)
+        self.cloud = CloudClient(self.http, s.external.cloud, cloud_share)
+        hooks = Hooks(self.gained, self.lost, self.raised, self.cluster_key, self.may_hand_back)
+        self.membership = Membership(world, self.state, hooks)
+        self.peers = Peers(world, self.on_message, self.hello)
+        self.writers: dict[int, Writer] = {}
+        self.machines: dict[int, MachineShard] = {}
+        self.users = Users(
+            world, self.state, self.membership, self.peers, self.writers, self.kick_soon
+        )
+        self.views: dict[int, pb.View] = {}
+        self.view_at: dict[int, float] = {}
+        self.demands: dict[int, tuple[float, list[pb.Demand]]] = {}
+        self.team_jobs: dict[int, list[TeamJob]] = {}
+        self.deleted: dict[str, float] = {}
+        self.fleet: Fleet | None = None
+        self.wake = curio.Event()
+        self.flush = curio.Event()
+        self.kicked = False
+        self.sent_wants: dict[tuple[int, int], tuple[int, int, float]] = {}
+        self.sent_view: dict[int, float] = {}
+        self.detours: dict[int, float] = {}
+        self.plan_at = 0.0
+        self.room_news = True
+        self.preempt_at: dict[int, float] = {}
+        self.taken: list[tuple[float, int, tuple[float, float, float]]] = []
+
+    # --- start
+
+    async def run(self) -> None:
+        s = self.world.settings
+        limits = s.settings.machine_limits
+        server = HttpServer(
+            split_address(s.public_addr),
+            self.serve,
+            int(limits.max_connections * 0.6),
+            self.world.tuning.stall_s,
+        )
+        frames = FrameServer(
+            split_address(s.cluster_listen), self.peers.serve, 4 * self.world.shards
+        )
+        loops: list[Callable[..., object]] = [
+            server.run,
+            self.membership.renew_loop,
+            self.membership.watch_loop,
+            self.membership.own_loop,
+            self.step_loop,
+            self.write_loop,
+            self.fleet_loop,
+        ]
+        await self.peers.run(frames)
+        await curio.spawn(learn_types, self.world, self.cloud, daemon=True)
+        async with curio.TaskGroup() as group:
+            for loop in loops:
+                await group.spawn(self._for_ever, loop)
+
+    async def _for_ever(self, loop) -> None:  # type: ignore[no-untyped-def]
+        """A loop that meets something unforeseen says so and goes on."""
+        while True:
+            try:
+                await loop()
+            except Exception:
+                log.exception("%s stumbled", loop.__qualname__)
+                await curio.sleep(0.5 + 0.5 * self.world.rng.random())
+
+    def kick_soon(self) -> None:
+        self.kicked = True
+
+    # --- holdings
+
+    async def gained(self, shard: int, token: int, gen: int, wait_s: float) -> None:
+        jobs = JobShard(self.world, shard, token, gen)
+        self.writers[shard] = Writer(self.world, self.state, jobs)
+        machines = MachineShard(self.world, shard, token, gen, wait_s)
+        self.machines[shard] = machines
+        for name in self.deleted:
+            machines.mark_deleted(name)
+        if shard == 0:
+            self.fleet = Fleet(
+                self.world, self.cloud, token, self.rooms, self.all_demands, self.note_deleted
+            )
+        old = self.views.pop(shard, None)
+        await curio.spawn(self._load, self.writers[shard], daemon=True)
+        if old is not None:
+            await curio.spawn(self._raise_at_workers, machines, old, daemon=True)
+
+    async def _load(self, writer: Writer) -> None:
+        shard = writer.shard.shard
+        while self.writers.get(shard) is writer and not writer.shard.loaded:
+            try:
+                await writer.load()
+            except (StateError, msgspec.DecodeError) as why:
+                log.info("shard %d not read: %s", shard, why)
+                await curio.sleep(0.2 + 0.2 * self.world.rng.random())
+        await self.wake.set()
+
+    async def _raise_at_workers(self, machines: MachineShard, old: pb.View) -> None:
+        """Show our token to the workers the last view named, and take their reports."""
+        for entry in old.machines:
+            if not entry.dead:
+                orders = api.Commands(machines.token, entry.session, [])
+                await curio.spawn(self._do, machines, None, entry.address, orders, daemon=True)
+
+    async def lost(self, shard: int) -> None:
+        self.writers.pop(shard, None)
+        self.machines.pop(shard, None)
+        if shard == 0:
+            self.fleet = None
+
+    async def raised(self, shard: int, token: int) -> None:
+        writer, machines = self.writers.get(shard), self.machines.get(shard)
+        if writer is not None:
+            writer.shard.token = token
+        if machines is not None:
+            machines.token = token
+
+    def may_hand_back(self, shard: int) -> bool:
+        writer = self.writers.get(shard)
+        return (
+            self.membership.valid()
+            and writer is not None
+            and writer.shard.loaded
+            and self.peers.up(shard)
+            and not writer.shard.dirty
+        )
+
+    async def cluster_key(self, event: api.Event) -> None:
+        """Keys of the cluster that are neither nodes nor shards."""
+        key = event.put or ""
+        if key.startswith(records.INBOX):
+            shard, _, name = key[len(records.INBOX) :].partition("/")
+            writer = self.writers.get(int(shard))
+            if writer is not None and writer.shard.loaded:
+                await curio.spawn(self._inbox, writer, name, key, daemon=True)
+        elif key.startswith(records.RELAY):
+            sender, _, to = key[len(records.RELAY) :].partition("-")
+            if int(to) == self.world.node and int(sender) != self.world.node:
+                text = msgspec.json.decode(event.value, type=str)
+                for envelope in unpack(text):
+                    await self.on_message(envelope)
+                await self.wake.set()
+
+    async def _inbox(self, writer: Writer, name: str, key: str) -> None:
+        """Another node created or cancelled one of our jobs."""
+        try:
+            async with writer.lock:
+                await writer.reload(name)
+            await self.state.txn({}, [drop_key(key)])
+        except (StateError, Conflict, msgspec.DecodeError) as why:
+            log.info("job %s: not read again: %s", name, why)
+            self.membership.synced = False
+        await self.wake.set()
+
+    # --- HTTP
+
+    async def serve(self, request: Request) -> Response:
+        if request.path == api.REPORT:
+            if request.method != "POST":
+                return fault(405, "use POST")
+            response = await self.on_report(request.body)
+        elif request.path == api.HEALTH:
+            if request.method not in ("GET", "HEAD"):
+                return fault(405, "use GET")
+            return self.health()
+        else:
+            response = await self.users.handle(request)
+        if self.kicked:
+            self.kicked = False
+            await self.wake.set()
+        return response
+
+    def health(self) -> Response:
+        others = any(self.peers.up(n) for n in range(self.world.shards) if n != self.world.node)
+        ready = bool(self.world.types) and (self.membership.may_renew_workers() or others)
+        return Response(200) if ready else fault(503, "not ready")
+
+    async def on_report(self, body: bytes) -> Response:
+        try:
+            report = msgspec.json.decode(body, type=api.Report)
+        except msgspec.DecodeError as why:
+            return fault(400, str(why))
+        shard = machine_shard(report.machine, report.zone, self.world.shard_zones)
+        machines = self.machines.get(shard)
+        if machines is None or report.token > machines.token:
+            holder = self.membership.holders.get(shard)
+            known = holder is not None and holder.node != self.world.node
+            name = self.world.node_name(holder.node) if known and holder else None
+            return Response(421, msgspec.json.encode(api.Redirect(name)))
+        if not self.membership.may_renew_workers():
+            return fault(503, "cut off from the state service")
+        valid = self.membership.valid()
+        fresh = self.world.machines.get(report.machine)
+        seen = machines.machines.get(fresh) if fresh is not None else None
+        newer = seen is None or (report.session, report.seq) > (seen.session, seen.seq)
+        machine = machines.take_report(report, True)
+        if machines.changed:
+            self.kicked = True
+        commands = machines.commands_after(machine, valid) if newer else []
+        return Response(200, msgspec.json.encode(api.ReportReply(machines.token, commands)))
+
+    # --- the step loop: from what is to what is wanted
+
+    async def step_loop(self) -> None:
+        while True:
+            async with curio.ignore_after(TICK_S):
+                await self.wake.wait()
+            self.wake.clear()
+            await self.step()
+
+    async def step(self) -> None:
+        valid = self.membership.valid()
+        now = self.world.now()
+        for shard, machines in list(self.machines.items()):
+            machines.check_silence()
+            for machine in machines.reconcile():
+                machine.busy = True
+                orders = machines.orders(machine, valid)
+                if orders.commands:
+                    await curio.spawn(
+                        self._do, machines, machine, machine.address, orders, daemon=True
+                    )
+                else:
+                    machine.busy = False
+            since = now - self.sent_view.get(shard, 0.0)
+            if (machines.changed and since >= VIEW_EVERY_S) or since >= REPEAT_S:
+                self.sent_view[shard] = now
+                await self._share(machines.view(valid))
+            if valid and machines.needs_new_token():
+                try:
+                    await self.membership.raise_token(shard)
+                except (StateError, Conflict, LeaseLost) as why:
+                    log.info("token not raised: %r", why)
+        for writer in list(self.writers.values()):
+            await self._send_wants(writer.shard, now)
+        if valid:
+            await self._plan(now)
+            await self._detour(now)
+        if any(w.shard.dirty for w in self.writers.values()):
+            await self.flush.set()
+
+    async def _share(self, view: pb.View) -> None:
+        await self.on_view(view)
+        for node in range(self.world.shards):
+            if node != self.world.node and node in self.peers.links:
+                try:
+                    await self.peers.send(node, pb.Envelope(view=view))
+                except PeerDown as why:
+                    log.debug("view not sent: %s", why)
+
+    async def _send_wants(self, jobs: JobShard, now: float) -> None:
+        if not jobs.loaded:
+            return
+        if jobs.wants_changed:
+            jobs.wants_changed = False
+            jobs.seq += 1
+        for to, holder in self.membership.holders.items():
+            last = self.sent_wants.get((jobs.shard, to))
+            if last is not None and last[:2] == (holder.gen, jobs.seq):
+                view = self.views.get(to)
+                acked = view is not None and any(
+                    a.shard == jobs.shard and a.token == jobs.base and a.seq >= jobs.seq
+                    for a in view.acks
+                )
+                if acked or now - last[2] < REPEAT_S:
+                    continue
+            self.sent_wants[(jobs.shard, to)] = (holder.gen, jobs.seq, now)
+            wants = jobs.wants(to, holder.gen, jobs.seq)
+            if holder.node == self.world.node:
+                self.on_wants(wants)
+            else:
+                try:
+                    await self.peers.send(holder.node, pb.Envelope(wants=wants))
+                except PeerDown as why:
+                    log.debug("wants not sent: %s", why)
+
+    async def _detour(self, now: float) -> None:
+        """Peers that can't be reached directly get our messages through the state service."""
+        for node in range(self.world.shards):
+            if node == self.world.node or self.peers.up(node):
+                continue
+            if node not in self.membership.living or self.peers.down_for(node) < DETOUR_AFTER_S:
+                continue
+            if now - self.detours.get(node, -1e9) < DETOUR_EVERY_S:
+                continue
+            self.detours[node] = now
+            batch = [pb.Envelope(sender=self.world.node, hello=self.hello())]
+            batch += [pb.Envelope(view=self.views[s]) for s in self.machines if s in self.views]
+            for writer in self.writers.values():
+                jobs = writer.shard
+                for to, holder in self.membership.holders.items():
+                    if holder.node == node and jobs.loaded:
+                        batch.append(pb.Envelope(wants=jobs.wants(to, holder.gen, jobs.seq)))
+            text = pack(batch)
+            if len(text) > self.world.settings.settings.state.value_kb * 1000:
+                log.error("detour to %d too long: %d", node, len(text))
+                continue
+            await curio.spawn(self._put_detour, node, text, daemon=True)
+
+    async def _put_detour(self, node: int, text: str) -> None:
+        key = records.relay_key(self.world.node, node)
+        try:
+            await self.state.txn({}, [put_key(key, text, self.membership.lease)])
+        except (StateError, Conflict, LeaseLost) as why:
+            log.info("no detour to %d: %r", node, why)
+
+    async def _do(
+        self,
+        machines: MachineShard,
+        machine: Machine | None,
+        address: str,
+        orders: api.Commands,
+    ) -> None:
+        """Commands straight to a worker; the answer's body is its newest report."""
+        try:
+            body = msgspec.json.encode(orders)
+            wait = self.world.tuning.reply_wait_s
+            reply = await self.http.call(address, "POST", api.COMMANDS, body, wait)
+            report = msgspec.json.decode(reply.body, type=api.Report)
+            taken = machines.take_report(report, False)
+            if reply.status == 409:
+                machines.refused_orders(taken, orders)
+            elif reply.status != 200:
+                raise NoAnswer(f"status {reply.status}")
+            elif taken.launches:
+                taken.retry_at = self.world.now() + 0.3
+        except (NoAnswer, msgspec.DecodeError) as why:
+            if machine is not None:
+                machines.unanswered(machine, orders, not isinstance(why, NotSent))
+        finally:
+            if machine is not None:
+                machine.busy = False
+        await self.wake.set()
+
+    # --- messages
+
+    async def on_message(self, envelope: pb.Envelope) -> pb.Envelope | None:
+        kind = envelope.WhichOneof("body")
+        if kind == "hello":
+            await self.on_hello(envelope.sender, envelope.hello)
+        elif kind == "view":
+            await self.on_view(envelope.view)
+            await self.wake.set()
+        elif kind == "wants":
+            self.on_wants(envelope.wants)
+            await self.wake.set()
+        elif kind == "reserve":
+            return pb.Envelope(reserved=self.on_reserve(envelope.reserve))
+        elif kind == "forward":
+            done = await self.users.forwarded(envelope.forward)
+            await self.wake.set()
+            return pb.Envelope(forwarded=done)
+        return None
+
+    def on_wants(self, wants: pb.Wants) -> None:
+        machines = self.machines.get(wants.to_shard)
+        if machines is not None:
+            machines.apply_wants(wants)
+
+    def on_reserve(self, msg: pb.Reserve) -> pb.Reserved:
+        machines = self.machines.get(msg.to_shard)
+        if machines is None or not self.membership.valid():
+            return pb.Reserved()
+        return machines.reserve(msg)
+
+    async def on_view(self, view: pb.View) -> None:
+        old = self.views.get(view.shard)
+        holder = self.membership.holders.get(view.shard)
+        if old is not None and old.gen == view.gen and view.seq <= old.seq:
+            return
+        if holder is not None and holder.gen != view.gen:
+            return
+        self.views[view.shard] = view
+        self.view_at[view.shard] = self.world.now()
+        self.room_news = True
+        for writer in self.writers.values():
+            if writer.shard.loaded and writer.shard.apply_view(view):
+                await self.flush.set()
+
+    def hello(self) -> pb.Hello:
+        out = pb.Hello()
+        for shard, holder in self.membership.holders.items():
+            out.holdings.add(shard=shard, node=holder.node, token=holder.token, gen=holder.gen)
+        out.demands.extend(self.demands.get(self.world.node, (0.0, []))[1])
+        out.deleted.extend(self.deleted)
+        for job in self.own_team_jobs():
+            out.jobs.add(team=job.team, at_ms=job.at_ms, id=job.id, cpus=job.cpus, gpus=job.gpus)
+        return out
+
+    async def on_hello(self, sender: int, hello: pb.Hello) -> None:
+        for item in hello.holdings:
+            holder = Holder(item.node, item.token, item.gen)
+            await self.membership.seen_elsewhere(item.shard, holder)
+        self.demands[sender] = (self.world.now(), list(hello.demands))
+        self.team_jobs[sender] = [
+            TeamJob(j.team, j.at_ms, j.id, j.cpus, j.gpus) for j in hello.jobs
+        ]
+        fresh = [name for name in hello.deleted if name not in self.deleted]
+        if fresh:
+            self.note_deleted(fresh)
+
+    # --- placement
+
+    def own_team_jobs(self) -> list[TeamJob]:
+        found = []
+        for writer in self.writers.values():
+            for job in writer.shard.jobs.values():
+                if not job.cancelled:
+                    n = job.unfinished
+                    found.append(
+                        TeamJob(job.team, job.at_ms, job.id, n * job.spec.cpus, n * job.spec.gpus)
+                    )
+        return sorted(found, key=lambda j: j.at_ms)[:500]
+
+    def rooms(self) -> list[Room]:
+        """Every machine known, with its room by the newest views; old views don't count."""
+        world, now = self.world, self.world.now()
+        self.taken = [t for t in self.taken if t[0] > now]
+        less: dict[int, list[float]] = {}
+        for _, index, size in self.taken:
+            old = less.setdefault(index, [0.0, 0.0, 0.0])
+            less[index] = [a + b for a, b in zip(old, size, strict=True)]
+        out = []
+        for shard, view in list(self.views.items()):
+            age = now - self.view_at[shard]
+            if age > world.tuning.offline_drop_s:
+                del self.views[shard]
+                continue
+            holder = self.membership.holders.get(shard)
+            near = holder is not None and self.peers.up(holder.node)
+            for m in view.machines:
+                kind = world.types.get(world.type_names.put(m.type))
+                if kind is None:
+                    continue
+                index = world.machines.put(m.id)
+                gone = less.get(index, (0.0, 0.0, 0.0))
+                free = [m.free_cpus - gone[0], m.free_gpus - gone[1], m.free_memory_gb - gone[2]]
+                busy = any(t.state != api.EXITED for t in m.tasks)
+                out.append(
+                    Room(
+                        index,
+                        world.type_names.put(m.type),
+                        world.zones.put(m.zone),
+                        m.spot,
+                        shard,
+                        total_of(kind),
+                        free,
+                        m.drawable and near and age < world.tuning.expiry_s,
+                        m.dead,
+                        m.draining,
+                        m.notice,
+                        busy,
+                        m.silent_s + age,
+                        m.idle_s,
+                        images=set(m.images),
+                        present={
+                            (j, t.task) for t in m.tasks if (j := world.jobs.get(t.job)) is not None
+                        },
+                    )
+                )
+        return out
+
+    async def _plan(self, now: float) -> None:
+        if not self.world.types or now < self.plan_at:
+            return
+        jobs = [
+            job
+            for writer in self.writers.values()
+            if writer.shard.loaded
+            for job in writer.shard.jobs.values()
+            if not job.cancelled and not job.final and not job.stale and job.pending(1)
+        ]
+        if not jobs:
+            self.demands[self.world.node] = (now, [])
+            return
+        self.plan_at = now + (0.05 if self.room_news else 0.25)
+        self.room_news = False
+        everyone = [j for found in self.team_jobs.values() for j in found] + self.own_team_jobs()
+        inside = scheduler.guaranteed_jobs(self.world, everyone)
+        for writer in self.writers.values():
+            for job in writer.shard.jobs.values():
+                job.guaranteed = job.id in inside
+        rooms = self.rooms()
+        picks, waiting = scheduler.plan(self.world, jobs, rooms, self._spare, 100)
+        self.demands[self.world.node] = (now, self._demand(waiting))
+        picks += self._preempting(waiting, rooms, now)
+        groups: dict[tuple[int, int, bool], list[Pick]] = {}
+        for pick in picks:
+            groups.setdefault((pick.room.shard, pick.job.index, pick.preempt), []).append(pick)
+        for group in groups.values():
+            if not group[0].preempt:
+                for pick in group:
+                    self.taken.append((now + 0.5, pick.room.index, pick.job.size))
+            await curio.spawn(self._reserve, group, daemon=True)
+
+    def _spare(self, job: Job) -> int:
+        """For how many more tasks of a job its shard has quota."""
+        team = self.world.settings.settings.teams[job.team]
+        spare = 1_000_000
+        writer = self.writers.get(job.shard)
+        if writer is None:
+            return 0
+        for most, size, field in (
+            (team.cpus_max, job.spec.cpus, 0),
+            (team.gpus_max, job.spec.gpus, 1),
+        ):
+            if most > 0 and size > 0:
+                share = most / self.world.shards
+                used = sum(
+                    j.used() * j.size[field]
+                    for j in writer.shard.jobs.values()
+                    if j.team == job.team
+                )
+                spare = min(spare, int((share - used) / size + 1e-9))
+        return max(0, spare)
+
+    @staticmethod
+    def _demand(waiting: list[tuple[Job, int]]) -> list[pb.Demand]:
+        return [
+            pb.Demand(
+                cpus=job.spec.cpus,
+                gpus=job.spec.gpus,
+                memory_gb=job.spec.memory_gb,
+                count=count,
+                types=job.spec.types or [],
+                zone=job.spec.zone or "",
+                spot=job.spec.spot,
+                rank=job.spec.rank,
+                service=job.spec.service,
+            )
+            for job, count in waiting[:200]
+        ]
+
+    def _preempting(
+        self, waiting: list[tuple[Job, int]], rooms: list[Room], now: float
+    ) -> list[Pick]:
+        """For work that may preempt: a few machines to ask for room by stopping lower work."""
+        picks = []
+        for job, _ in waiting:
+            if not (job.spec.rank > 0 or job.guaranteed):
+                continue
+            if now < self.preempt_at.get(job.index, 0.0):
+                continue
+            self.preempt_at[job.index] = now + 0.5
+            zone_ok = scheduler.zones_open(job, lambda j=job: scheduler.zone_use(j))  # type: ignore[misc]
+            able = [
+                r
+                for r in rooms
+                if r.drawable
+                and scheduler.allowed(self.world, job, r)
+                and zone_ok(r.zone)
+                and all(s <= t for s, t in zip(job.size, r.total, strict=True))
+            ]
+            able.sort(key=lambda r: (job.spec.image not in r.images, self.world.rng.random()))
+            tasks = [t for t in job.pending(3) if job.retry_at.get(t, 0.0) <= now]
+            for room, task in zip(able, tasks, strict=False):
+                job.asking[task] = room.zone
+                picks.append(Pick(job, task, room, True))
+        return picks
+
+    async def _reserve(self, group: list[Pick]) -> None:
+        """Ask the machines' owner for room; what it gives goes into the job's record."""
+        job, shard = group[0].job, group[0].room.shard
+        holder = self.membership.holders.get(shard)
+        given: dict[int, pb.Given] = {}
+        if holder is not None:
+            ask = pb.Reserve(to_shard=shard, to_gen=holder.gen, job=job_message(job))
+            ask.preempt = group[0].preempt
+            rooms = {}
+            for pick in group:
+                rooms[pick.task] = pick.room
+                ask.spots.add(
+                    task=pick.task,
+                    attempt=job.tries[pick.task] + 1,
+                    machine=self.world.machines[pick.room.index],
+                )
+            try:
+                if holder.node == self.world.node:
+                    reply = self.on_reserve(ask)
+                else:
+                    envelope = pb.Envelope(reserve=ask)
+                    wait = self.world.tuning.reply_wait_s
+                    reply = (await self.peers.call(holder.node, envelope, wait)).reserved
+                given = {g.task: g for g in reply.given}
+            except PeerDown as why:
+                log.info("no room asked of %s: %s", self.world.node_name(holder.node), why)
+        now = self.world.now()
+        for pick in group:
+            job.asking.pop(pick.task, None)
+            got = given.get(pick.task)
+            if got is None or got.evicting or job.cancelled or job.final:
+                if not pick.preempt:
+                    job.retry_at[pick.task] = now + 0.1
+                continue
+            job.starts[pick.task] = Place(
+                pick.room.index, got.session, got.attempt, shard, pick.room.zone, since=now
+            )
+        writer = self.writers.get(job.shard)
+        if job.starts and writer is not None and writer.shard.jobs.get(job.index) is job:
+            writer.shard.dirty.add(job.index)
+            await self.flush.set()
+
+    # --- durable changes
+
+    async def write_loop(self) -> None:
+        while True:
+            async with curio.ignore_after(0.25):
+                await self.flush.wait()
+            self.flush.clear()
+            for writer in list(self.writers.values()):
+                try:
+                    while self.membership.valid() and await writer.flush():
+                        await self.wake.set()
+                except (StateError, LeaseLost, msgspec.DecodeError) as why:
+                    log.info("shard %d: not written: %r", writer.shard.shard, why)
+                    await curio.sleep(0.1 + 0.2 * self.world.rng.random())
+                if writer.lost:
+                    self.membership.synced = False
+                    await curio.sleep(0.1)
+
+    # --- fleet
+
+    def all_demands(self) -> list[Demand]:
+        now = self.world.now()
+        return [
+            Demand(
+                (d.cpus, d.gpus, d.memory_gb),
+                d.count,
+                tuple(d.types),
+                d.zone,
+                d.spot,
+                d.rank,
+                d.service,
+            )
+            for at, found in self.demands.values()
+            if now - at < 5.0
+            for d in found
+        ]
+
+    def note_deleted(self, names: list[str]) -> None:
+        now = self.world.now()
+        for name in names:
+            self.deleted[name] = now
+            for machines in self.machines.values():
+                machines.mark_deleted(name)
+        for name in [n for n, at in self.deleted.items() if now - at > DELETED_KEPT_S]:
+            del self.deleted[name]
+
+    async def fleet_loop(self) -> None:
+        while True:
+            await curio.sleep(0.5)
+            if self.fleet is None or not self.membership.valid():
+                continue
+            try:
+                await self.fleet.step()
+            except CloudError as why:
+                log.info("cloud: %s", why or "no capacity")
+                await curio.sleep(0.5 + 0.5 * self.world.rng.random())
--- /dev/null
+++ b/starlingdeck/coordination/scheduler.py
@@ -0,0 +1,159 @@
+"""Which waiting tasks go next, and where (DESIGN 2). Pure: rooms and jobs in, picks out."""
+
+from collections.abc import Callable, Iterable, Sequence
+from dataclasses import dataclass
+
+from starlingdeck.coordination.jobs import Job
+from starlingdeck.coordination.placement import Room, choose_start
+from starlingdeck.coordination.world import World
+
+FAR = 1e9
+
+
+@dataclass(slots=True, frozen=True)
+class TeamJob:
+    """An unfinished job anywhere in the service, for the guarantees."""
+
+    team: int
+    at_ms: int
+    id: str
+    cpus: float
+    gpus: float
+
+
+@dataclass(slots=True)
+class Pick:
+    job: Job
+    task: int
+    room: Room
+    preempt: bool = False
+
+
+def guaranteed_jobs(world: World, jobs: Iterable[TeamJob]) -> set[str]:
+    """Jobs that fit into their team's guarantee together with its earlier unfinished jobs."""
+    left = {
+        i: [t.cpus, t.gpus if t.gpus > 0 else FAR]
+        for i, t in enumerate(world.settings.settings.teams)
+        if t.cpus > 0 or t.gpus > 0
+    }
+    for pair, team in zip(left.values(), world.settings.settings.teams, strict=False):
+        if team.cpus <= 0:
+            pair[0] = FAR
+    inside: set[str] = set()
+    for job in sorted(jobs, key=lambda j: (j.at_ms, j.id)):
+        room = left.get(job.team)
+        if room is None:
+            continue
+        room[0] -= job.cpus
+        room[1] -= job.gpus
+        if room[0] >= -1e-6 and room[1] >= -1e-6:
+            inside.add(job.id)
+    return inside
+
+
+def soft_deadline_ms(world: World, job: Job) -> float:
+    """When the job should be over: its deadline, else the tightest aim for its class."""
+    spec = job.spec
+    if spec.deadline_s is not None:
+        return job.at_ms + spec.deadline_s * 1000
+    aims = [
+        o.within_s
+        for o in world.settings.settings.objectives
+        if o.kind == "finished" and o.cls == spec.cls and o.within_s
+    ]
+    return job.at_ms + min(aims) * 1000 if aims else job.at_ms + FAR
+
+
+def order(world: World, jobs: Iterable[Job], now_ms: int) -> list[Job]:
+    """Guarantee first, then rank, then the least slack."""
+
+    def key(job: Job) -> tuple[bool, int, float, str]:
+        slack = soft_deadline_ms(world, job) - now_ms - job.spec.estimate_s * 1000
+        return (not job.guaranteed, -job.spec.rank, slack, job.id)
+
+    return sorted(jobs, key=key)
+
+
+def allowed(world: World, job: Job, room: Room) -> bool:
+    """Type, zone and kind of machine; the rules that no aim may break."""
+    spec = job.spec
+    if spec.types is not None and world.type_names[room.type] not in spec.types:
+        return False
+    if spec.zone is not None and world.zones[room.zone] != spec.zone:
+        return False
+    return spec.spot or not room.spot
+
+
+def zones_open(job: Job, zone_count: Callable[[], dict[int, int]]) -> Callable[[int], bool]:
+    """Which zones the next task may use, given where the job's other tasks are."""
+    spec = job.spec
+    used = zone_count()
+    if spec.one_zone and used:
+        return lambda zone: zone in used
+    if spec.spread:
+        most = (spec.tasks + 1) // 2
+        return lambda zone: used.get(zone, 0) < most
+    return lambda zone: True
+
+
+def zone_use(job: Job) -> dict[int, int]:
+    """Tasks per zone, counting those recorded, being recorded and being asked for."""
+    used: dict[int, int] = {}
+    for place in (*job.places.values(), *job.starts.values()):
+        used[place.zone] = used.get(place.zone, 0) + 1
+    for zone in job.asking.values():
+        used[zone] = used.get(zone, 0) + 1
+    return used
+
+
+def plan(
+    world: World,
+    jobs: Sequence[Job],
+    rooms: Sequence[Room],
+    spare: Callable[[Job], int],
+    most: int,
+) -> tuple[list[Pick], list[tuple[Job, int]]]:
+    """Picks for up to `most` waiting tasks, and how many of each job found no machine.
+
+    `spare(job)` says for how many more tasks the job's shard has quota.
+    """
+    now, now_ms = world.now(), world.wall_ms()
+    picks: list[Pick] = []
+    waiting: list[tuple[Job, int]] = []
+    for job in order(world, jobs, now_ms):
+        if len(picks) >= most or job.hold_until > now:
+            continue
+        limit = min(most - len(picks), spare(job))
+        if len(job.failed_on) >= world.tuning.suspect_machines:
+            limit = min(limit, 1 - len(job.places))
+        if limit <= 0:
+            continue
+        fitting = [r for r in rooms if r.drawable and allowed(world, job, r)]
+        missed = 0
+        for task in job.pending(limit):
+            if job.retry_at.get(task, 0.0) > now:
+                continue
+            zone_ok = zones_open(job, lambda j=job: zone_use(j))  # type: ignore[misc]
+            avoid = job.avoid.get(task, set())
+            key = job.index, task
+            choices = [
+                r
+                for r in fitting
+                if zone_ok(r.zone) and r.index not in avoid and key not in r.present
+            ]
+            room = choose_start(
+                choices, job.size, job.spec.image, False, world.tuning.score_machines, world.rng
+            )
+            if room is None:
+                missed += 1
+                if missed > 3:
+                    missed = max(missed, len(job.pending(limit)))
+                    break
+                continue
+            room.free = [f - s for f, s in zip(room.free, job.size, strict=True)]
+            room.present.add(key)
+            job.asking[task] = room.zone
+            picks.append(Pick(job, task, room))
+        if missed:
+            waiting.append((job, missed))
+    return picks, waiting
--- /dev/null
+++ b/starlingdeck/coordination/users.py
@@ -0,0 +1,271 @@
+"""The users' API: submit, look, cancel. Every answer is given at once."""
+
+import logging
+from collections.abc import Callable
+
+import msgspec
+
+from starlingdeck.coordination.jobs import JobShard, new_job
+from starlingdeck.coordination.membership import Membership
+from starlingdeck.coordination.peers import PeerDown, Peers
+from starlingdeck.coordination.shards import job_shard
+from starlingdeck.coordination.world import World, size_of
+from starlingdeck.coordination.writer import Writer
+from starlingdeck.protocol import api
+from starlingdeck.protocol import peer_pb2 as pb
+from starlingdeck.protocol.api import JobSpec
+from starlingdeck.storage import records
+from starlingdeck.storage.records import FinalRecord, JobRecord
+from starlingdeck.storage.state import Conflict, StateClient, StateError, put
+from starlingdeck.transport.server import Request, Response
+
+log = logging.getLogger(__name__)
+
+LATER = (("retry-after", "1"),)
+FINALS_KEPT = 5000
+
+
+def answer(status: int, body: object) -> Response:
+    return Response(status, msgspec.json.encode(body), LATER if status in (429, 503) else ())
+
+
+def fault(status: int, text: str) -> Response:
+    return answer(status, api.ErrorBody(text))
+
+
+def never(world: World, spec: JobSpec) -> str:
+    """Why a job can never run, or nothing."""
+    team = next((t for t in world.settings.settings.teams if t.name == spec.team), None)
+    if team is None:
+        return f"unknown team {spec.team!r}"
+    count = spec.tasks if spec.service else 1
+    if 0 < team.cpus_max < spec.cpus * count or 0 < team.gpus_max < spec.gpus * count:
+        return f"more than the limit of team {spec.team!r}"
+    size = size_of(spec)
+    for kind in world.types.values():
+        if spec.types is not None and kind.name not in spec.types:
+            continue
+        if spec.zone is not None and spec.zone not in kind.zones:
+            continue
+        if all(s <= t for s, t in zip(size, (kind.cpus, kind.gpus, kind.memory_gb), strict=True)):
+            return ""
+    return "a task fits no allowed machine type"
+
+
+class Users:
+    def __init__(
+        self,
+        world: World,
+        state: StateClient,
+        membership: Membership,
+        peers: Peers,
+        writers: dict[int, Writer],
+        kick: Callable[[], None],
+    ) -> None:
+        self.world = world
+        self.state = state
+        self.membership = membership
+        self.peers = peers
+        self.writers = writers
+        self.kick = kick
+        self.busy = 0
+
+    async def handle(self, request: Request) -> Response:
+        """Routes a user's request; the paths are in protocol.api."""
+        path = request.path
+        if path == api.JOBS:
+            if request.method != "POST":
+                return fault(405, "use POST")
+            return await self._guard(self._submit_door, request.body, "")
+        if not path.startswith(api.JOBS + "/"):
+            return fault(404, "no such path")
+        name, _, verb = path[len(api.JOBS) + 1 :].partition("/")
+        if verb == api.CANCEL:
+            if request.method != "POST":
+                return fault(405, "use POST")
+            return await self._guard(self._pass_on, b"", name, "POST")
+        if verb:
+            return fault(404, "no such path")
+        if request.method != "GET":
+            return fault(405, "use GET")
+        return await self._guard(self._pass_on, b"", name, "GET")
+
+    async def _guard(self, do, body: bytes, name: str, method: str = "POST") -> Response:  # type: ignore[no-untyped-def]
+        if self.busy >= 200:
+            return fault(429, "too many requests at once")
+        self.busy += 1
+        try:
+            reply: Response = await do(body, name, method)
+            return reply
+        except StateError as why:
+            return fault(503, f"the state service can't be used now: {why}")
+        finally:
+            self.busy -= 1
+
+    async def _submit_door(self, body: bytes, _name: str, _method: str) -> Response:
+        try:
+            spec = api.decode_job(body)
+        except api.FieldFault as why:
+            return fault(400, str(why))
+        if not self.world.types:
+            return fault(503, "machine types not known yet")
+        reason = never(self.world, spec)
+        if reason:
+            # A job that was accepted before is known, whatever the types are now.
+            known = await self._look(spec.id)
+            return known if known is not None and known.status == 200 else fault(422, reason)
+        return await self._pass_on(body, spec.id, "SUBMIT")
+
+    async def _pass_on(self, body: bytes, name: str, method: str) -> Response:
+        """To the holder of the job's shard, if it can be reached; else do it ourselves."""
+        shard = job_shard(name, self.world.shards)
+        writer = self.writers.get(shard)
+        if writer is not None:
+            if writer.shard.loaded and self.membership.valid():
+                return await self.at_holder(writer, method, name, body)
+        else:
+            holder = self.membership.holders.get(shard)
+            if holder is not None and holder.node != self.world.node and self.peers.up(holder.node):
+                ask = pb.Envelope(forward=pb.Forward(method=method, path=name, body=body))
+                try:
+                    reply = await self.peers.call(holder.node, ask, 1.0)
+                    if reply.forwarded.status != 421:
+                        status = reply.forwarded.status
+                        again = LATER if status in (429, 503) else ()
+                        return Response(status, reply.forwarded.body, again)
+                except PeerDown:
+                    pass
+        return await self._alone(body, name, method, shard)
+
+    async def forwarded(self, ask: pb.Forward) -> pb.Forwarded:
+        writer = self.writers.get(job_shard(ask.path, self.world.shards))
+        if writer is None or not writer.shard.loaded or not self.membership.valid():
+            return pb.Forwarded(status=421)
+        try:
+            reply = await self.at_holder(writer, ask.method, ask.path, ask.body)
+        except StateError as why:
+            reply = fault(503, str(why))
+        return pb.Forwarded(status=reply.status, body=reply.body)
+
+    # --- at the job's holder
+
+    async def at_holder(self, writer: Writer, method: str, name: str, body: bytes) -> Response:
+        shard = writer.shard
+        index = self.world.jobs.get(name)
+        job = shard.jobs.get(index) if index is not None else None
+        if job is None and name not in shard.finals:
+            if method == "SUBMIT":
+                return await self._create(writer, api.decode_job(body))
+            await self._find(shard, writer, name)
+            index = self.world.jobs.get(name)
+            job = shard.jobs.get(index) if index is not None else None
+        if job is not None and method == "POST" and not job.cancelled:
+            await writer.cancel(job)
+            self.kick()
+            job = shard.jobs.get(job.index)
+        if job is not None:
+            status = shard.status(job)
+            if method == "POST":
+                status = api.JobStatus(name, api.CANCELLED)
+            return answer(200, status)
+        if name in shard.finals:
+            state = shard.finals[name]
+            return answer(200, final_status(name, state, shard.final_tasks.get(name, 0)))
+        return fault(404, "no such job")
+
+    async def _find(self, shard: JobShard, writer: Writer, name: str) -> None:
+        """Neither running nor remembered here: the state service knows."""
+        while len(shard.finals) > FINALS_KEPT:
+            oldest = next(iter(shard.finals))
+            del shard.finals[oldest]
+            shard.final_tasks.pop(oldest, None)
+        async with writer.lock:
+            await writer.reload(name)
+
+    async def _create(self, writer: Writer, spec: JobSpec) -> Response:
+        shard = writer.shard
+        at_ms = self.world.wall_ms()
+        job = new_job(self.world, spec, shard.shard, at_ms)
+        main = records.job_key(shard.shard, spec.id)
+        conditions = {
+            main: 0,
+            records.final_key(shard.shard, spec.id): 0,
+            records.shard_key(shard.shard): shard.token,
+        }
+        try:
+            revision = await self.state.txn(conditions, [put(main, JobRecord(spec, at_ms))], True)
+        except Conflict:
+            await self._find(shard, writer, spec.id)
+            return await self._known(shard, spec.id)
+        job.versions[0] = revision
+        shard.jobs.setdefault(job.index, job)
+        log.info("job %s: accepted, %d tasks", spec.id, spec.tasks)
+        self.kick()
+        return answer(201, api.JobStatus(spec.id, api.QUEUED))
+
+    async def _known(self, shard: JobShard, name: str) -> Response:
+        index = self.world.jobs.get(name)
+        job = shard.jobs.get(index) if index is not None else None
+        if job is not None:
+            return answer(200, shard.status(job))
+        if name in shard.finals:
+            return answer(200, final_status(name, shard.finals[name], 0))
+        return fault(503, "the shard is changing hands")
+
+    # --- without the holder
+
+    async def _look(self, name: str) -> Response | None:
+        """From the state service. The unfinished key first: a job moves from there only."""
+        shard = job_shard(name, self.world.shards)
+        entry = await self.state.get(records.job_key(shard, name), True)
+        if entry is not None:
+            job = msgspec.json.decode(entry.value, type=JobRecord)
+            running = len(job.chunk.on)
+            done = len(records.unpack_done(job.chunk.done))
+            state = api.CANCELLED if job.cancelled else api.RUNNING if running else api.QUEUED
+            return answer(200, api.JobStatus(name, state, done, running))
+        entry = await self.state.get(records.final_key(shard, name), True)
+        if entry is not None:
+            final = msgspec.json.decode(entry.value, type=FinalRecord)
+            return answer(200, final_status(name, final.state, final.tasks))
+        return None
+
+    async def _alone(self, body: bytes, name: str, method: str, shard: int) -> Response:
+        if method == "SUBMIT":
+            spec = api.decode_job(body)
+            main = records.job_key(shard, name)
+            note = put(records.inbox_key(shard, name), 1)
+            record = put(main, JobRecord(spec, self.world.wall_ms()))
+            conditions = {main: 0, records.final_key(shard, name): 0}
+            try:
+                await self.state.txn(conditions, [record, note], True)
+                log.info("job %s: accepted for shard %d", name, shard)
+                return answer(201, api.JobStatus(name, api.QUEUED))
+            except Conflict:
+                return await self._look(name) or fault(503, "the job is changing")
+        known = await self._look(name)
+        if known is None:
+            return fault(404, "no such job")
+        if method == "GET":
+            return known
+        return await self._cancel_alone(name, shard)
+
+    async def _cancel_alone(self, name: str, shard: int) -> Response:
+        main = records.job_key(shard, name)
+        entry = await self.state.get(main, True)
+        if entry is None:
+            return await self._look(name) or fault(404, "no such job")
+        record = msgspec.json.decode(entry.value, type=JobRecord)
+        if not record.cancelled:
+            record.cancelled = True
+            note = put(records.inbox_key(shard, name), 1)
+            try:
+                await self.state.txn({main: entry.version}, [put(main, record), note], True)
+            except Conflict:
+                return fault(503, "the job is changing")
+            log.info("job %s: cancelled for shard %d", name, shard)
+        return answer(200, api.JobStatus(name, api.CANCELLED))
+
+
+def final_status(name: str, state: str, tasks: int) -> api.JobStatus:
+    return api.JobStatus(name, state, tasks if state == api.DONE else 0, 0)
--- /dev/null
+++ b/starlingdeck/coordination/world.py
@@ -0,0 +1,69 @@
+"""What every part of a controller knows: settings, names, machine types, clocks."""
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from starlingdeck.coordination.names import Names
+from starlingdeck.protocol.api import JobSpec, MachineType
+from starlingdeck.protocol.settings import Settings, Tuning
+
+Size = tuple[float, float, float]
+DRIFT = 1.002  # steady clocks of two machines differ by 0.05% each; with room to spare
+
+
+@dataclass(slots=True)
+class World:
+    settings: Settings
+    tuning: Tuning
+    now: Callable[[], float]
+    wall_ms: Callable[[], int]
+    rng: random.Random
+    jobs: Names = field(default_factory=Names)
+    machines: Names = field(default_factory=Names)
+    zones: Names = field(default_factory=Names)
+    type_names: Names = field(default_factory=Names)
+    images: Names = field(default_factory=Names)
+    teams: Names = field(default_factory=Names)
+    types: dict[int, MachineType] = field(default_factory=dict)
+    node: int = 0
+    shards: int = 1
+    shard_zones: list[str] = field(default_factory=list)
+
+    def __post_init__(self) -> None:
+        members = self.settings.members()
+        self.node = [name for name, _, _ in members].index(self.settings.name)
+        self.shards = len(members)
+        self.shard_zones = [zone for _, zone, _ in members]
+        for team in self.settings.settings.teams:
+            self.teams.put(team.name)
+
+    def learn_types(self, types: list[MachineType]) -> None:
+        for kind in types:
+            self.types[self.type_names.put(kind.name)] = kind
+
+    def node_name(self, node: int) -> str:
+        return self.settings.members()[node][0]
+
+    @property
+    def outage_s(self) -> float:
+        """How long a holder cut off from the state service goes on renewing worker leases.
+
+        The bound plus the lease must end before a cancellation is due, because the
+        cancelling node may be unable to tell this one.
+        """
+        w = self.settings.settings.workers
+        return max(0.0, w.cancel_s - w.lease_s * DRIFT - max(4.0, 0.15 * w.cancel_s))
+
+    @property
+    def silence_s(self) -> float:
+        """A worker's lease is surely over this long after its last answer."""
+        return self.settings.settings.workers.lease_s * DRIFT + 0.3
+
+
+def size_of(spec: JobSpec) -> Size:
+    return (spec.cpus, spec.gpus, spec.memory_gb)
+
+
+def total_of(kind: MachineType) -> Size:
+    return (kind.cpus, kind.gpus, kind.memory_gb)
--- /dev/null
+++ b/starlingdeck/coordination/writer.py
@@ -0,0 +1,170 @@
+"""Makes a job shard's changes durable, grouped into transactions."""
+
+import logging
+
+import curio
+import msgspec
+
+from starlingdeck.coordination.jobs import Draft, Job, JobShard, load_job
+from starlingdeck.coordination.world import World
+from starlingdeck.protocol import api
+from starlingdeck.storage import records
+from starlingdeck.storage.records import Chunk, FinalRecord, JobRecord
+from starlingdeck.storage.state import Conflict, StateClient, StateError, StateUnknown
+
+log = logging.getLogger(__name__)
+
+TXN_BYTES = 56 * 1024
+
+
+class Writer:
+    """One per job shard; `lock` keeps its transactions one after the other."""
+
+    def __init__(self, world: World, state: StateClient, shard: JobShard) -> None:
+        self.world = world
+        self.state = state
+        self.shard = shard
+        self.lock = curio.Lock()
+        self.lost = False
+
+    async def load(self) -> None:
+        """Read the shard's unfinished jobs after taking it over."""
+        shard = self.shard.shard
+        mains, _ = await self.state.read(f"j/{shard}/")
+        parts, _ = await self.state.read(f"t/{shard}/")
+        chunks: dict[str, dict[int, tuple[int, Chunk]]] = {}
+        for entry in parts:
+            _, _, job, number = entry.key.split("/")
+            value = msgspec.json.decode(entry.value, type=Chunk)
+            chunks.setdefault(job, {})[int(number)] = (entry.version, value)
+        for entry in mains:
+            name = entry.key.rsplit("/", 1)[1]
+            self._adopt(entry, chunks.get(name, {}))
+        self.shard.loaded = True
+        self.shard.wants_changed = True
+        log.info("shard %d: %d unfinished jobs read", shard, len(mains))
+
+    def _adopt(self, entry: api.Entry, parts: dict[int, tuple[int, Chunk]]) -> Job:
+        main = msgspec.json.decode(entry.value, type=JobRecord)
+        job = load_job(
+            self.world, self.shard.shard, main, {n: chunk for n, (_, chunk) in parts.items()}
+        )
+        job.versions = {0: entry.version, **{n: v for n, (v, _) in parts.items()}}
+        old = self.shard.jobs.get(job.index)
+        if old is not None:
+            # Keep what was seen of attempts that are still recorded.
+            for task, place in job.places.items():
+                before = old.places.get(task)
+                if before is not None and before.attempt == place.attempt:
+                    job.places[task] = before
+                    if task in old.ends:
+                        job.ends[task] = old.ends[task]
+            job.failed_on, job.errors = old.failed_on, old.errors
+            job.hold_until, job.avoid = old.hold_until, old.avoid
+            job.guaranteed = old.guaranteed
+        self.shard.jobs[job.index] = job
+        self.shard.dirty.add(job.index)
+        self.shard.wants_changed = True
+        return job
+
+    async def reload(self, name: str) -> Job | None:
+        """Look again at a job whose record may have changed under us."""
+        shard = self.shard.shard
+        index = self.world.jobs.get(name)
+        before = self.shard.jobs.get(index) if index is not None else None
+        entry = await self.state.get(records.job_key(shard, name), True)
+        if entry is None:
+            final = await self.state.get(records.final_key(shard, name), True)
+            # Not one that was created while we looked.
+            if before is not None and self.shard.jobs.get(before.index) is before:
+                self.shard.jobs.pop(before.index)
+                self.shard.wants_changed = True
+            if final is not None:
+                value = msgspec.json.decode(final.value, type=FinalRecord)
+                self.shard.finals[name] = value.state
+                self.shard.final_tasks[name] = value.tasks
+            return None
+        main = msgspec.json.decode(entry.value, type=JobRecord)
+        parts: dict[int, tuple[int, Chunk]] = {}
+        if main.spec.tasks > records.CHUNK:
+            found, _ = await self.state.read(f"t/{shard}/{name}/")
+            parts = {
+                int(e.key.rsplit("/", 1)[1]): (e.version, msgspec.json.decode(e.value, type=Chunk))
+                for e in found
+            }
+        return self._adopt(entry, parts)
+
+    async def flush(self) -> bool:
+        """One transaction's worth of changes; True when something became durable."""
+        async with self.lock:
+            if self.lost or not self.shard.loaded:
+                return False
+            await self._reload_stale()
+            batch = self._batch()
+            if not batch:
+                return False
+            return await self._write(batch, False)
+
+    async def cancel(self, job: Job) -> None:
+        """Durable before it returns; raises StateError when it may not be."""
+        async with self.lock:
+            if job.stale:
+                await self._reload_stale()
+            current = self.shard.jobs.get(job.index)
+            if current is None or current.cancelled or current.final:
+                return
+            if self.lost or not await self._write([self.shard.draft_cancel(current)], True):
+                raise StateError("the job's record changed; ask again")
+
+    async def _reload_stale(self) -> None:
+        for job in [j for j in self.shard.jobs.values() if j.stale]:
+            await self.reload(job.id)
+
+    def _batch(self) -> list[Draft]:
+        most = self.world.settings.settings.state.txn_ops
+        batch: list[Draft] = []
+        changes, size = 0, 0
+        ready = sorted(
+            (self.shard.jobs[i] for i in self.shard.dirty if i in self.shard.jobs),
+            key=lambda j: (-j.spec.rank, j.at_ms),
+        )
+        for job in ready:
+            draft = self.shard.draft(job)
+            if draft is None:
+                self.shard.dirty.discard(job.index)
+                continue
+            length = len(msgspec.json.encode(draft.changes))
+            if batch and (changes + len(draft.changes) > most or size + length > TXN_BYTES):
+                break
+            batch.append(draft)
+            changes += len(draft.changes)
+            size += length
+        return batch
+
+    async def _write(self, batch: list[Draft], urgent: bool) -> bool:
+        conditions: dict[str, int] = {}
+        changes: list[api.Change] = []
+        for draft in batch:
+            conditions.update(draft.conditions)
+            changes += draft.changes
+        try:
+            revision = await self.state.txn(conditions, changes, urgent)
+        except Conflict as fault:
+            if records.shard_key(self.shard.shard) in fault.failed:
+                # Another node holds the shard, or our token rose: nothing was written.
+                if conditions[records.shard_key(self.shard.shard)] == self.shard.token:
+                    self.lost = True
+                return False
+            for draft in batch:
+                if any(key in fault.failed for key in draft.conditions):
+                    draft.job.stale = True
+            await self._reload_stale()
+            return False
+        except StateUnknown:
+            # It may have been executed, or may yet be: the next write's condition decides.
+            for draft in batch:
+                draft.job.stale = True
+            raise
+        for draft in batch:
+            self.shard.commit(draft, revision)
+        return True
--- /dev/null
+++ b/starlingdeck/protocol/__init__.py
@@ -0,0 +1,1 @@
+"""Wire messages; the only layer that knows wire names."""
--- /dev/null
+++ b/starlingdeck/protocol/settings.py
@@ -0,0 +1,157 @@
+"""What the platform hands over (JSON) and what operators may tune (TOML)."""
+
+from pathlib import Path
+from typing import Annotated
+
+import msgspec
+from msgspec import Meta
+
+Amount = Annotated[float, Meta(ge=0)]
+Positive = Annotated[float, Meta(gt=0)]
+Count = Annotated[int, Meta(ge=1)]
+
+
+class Peer(msgspec.Struct, frozen=True):
+    name: str = msgspec.field(name="host_name")
+    zone: str
+    address: str
+
+
+class External(msgspec.Struct, frozen=True):
+    cloud: str
+    state: str
+
+
+class Team(msgspec.Struct, frozen=True):
+    name: str
+    cpus: Amount = 0.0
+    cpus_max: Amount = 0.0
+    gpus: Amount = 0.0
+    gpus_max: Amount = 0.0
+
+
+class Objective(msgspec.Struct, frozen=True):
+    kind: str
+    cls: str | None = msgspec.field(name="class", default=None)
+    within_s: float | None = None
+    share: float | None = None
+    times: float | None = None
+
+
+class WorkerSettings(msgspec.Struct, frozen=True):
+    report_s: Positive
+    lease_s: Positive
+    cancel_s: Positive
+
+
+class StateSettings(msgspec.Struct, frozen=True):
+    rps: Positive
+    write_rps: Positive
+    value_kb: Positive
+    txn_ops: Count
+
+
+class CloudSettings(msgspec.Struct, frozen=True):
+    rps: Positive
+    list_lag_s: Amount
+
+
+class MachineLimits(msgspec.Struct, frozen=True):
+    cores: Positive
+    mem_mb: Positive
+    max_connections: Count
+
+
+class Deployment(msgspec.Struct, frozen=True):
+    nodes: Count
+    zones: list[str]
+    teams: list[Team]
+    workers: WorkerSettings
+    state: StateSettings
+    cloud: CloudSettings
+    machine_limits: MachineLimits
+    skew_ms: Amount
+    objectives: list[Objective] = []
+
+
+class Settings(msgspec.Struct, frozen=True):
+    name: str = msgspec.field(name="host_name")
+    zone: str
+    public_addr: str
+    cluster_listen: str
+    peers: list[Peer]
+    external: External
+    settings: Deployment
+
+    def members(self) -> list[tuple[str, str, str]]:
+        """(name, zone, address) of every controller, in the order all of them agree on."""
+        own = (self.name, self.zone, self.cluster_listen)
+        return sorted([own] + [(p.name, p.zone, p.address) for p in self.peers])
+
+
+class Tuning(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Operators' own settings. Values marked (start) are our starting values."""
+
+    state_lease_s: Positive = 4.0  # (start)
+    reply_wait_s: Positive = 2.0  # DESIGN, timers
+    expiry_s: Positive = 20.0  # DESIGN, timers
+    offline_drop_s: Positive = 30.0  # DESIGN, timers
+    moves_per_s: Amount = 2.0  # DESIGN 5
+    score_machines: Count = 200  # DESIGN 2
+    refit_machines: Count = 2000  # DESIGN 4
+    refit_candidates: Count = 15  # DESIGN 4
+    tabu_restarts: Count = 25  # DESIGN 3
+    tabu_steps: Count = 5  # DESIGN 3
+    tabu_patience: Count = 6  # DESIGN 3
+    reserve_s: Positive = 6.0  # (start) how long a reservation waits for its record
+    spare_share: Amount = 0.15  # (start) room kept free for failures
+    idle_s: Positive = 120.0  # (start) an unused machine is returned after this
+    sick_errors: Count = 3  # (start) errors without a success that mark a machine
+    suspect_machines: Count = 3  # (start) machines a job fails on before it is suspect
+    stall_s: Positive = 10.0  # (start) a half-sent request ends after this
+
+
+class Fault(Exception):
+    """Bad settings: one line per fault."""
+
+    def __init__(self, lines: list[str]) -> None:
+        super().__init__("\n".join(lines))
+        self.lines = lines
+
+
+def load_settings(path: Path) -> Settings:
+    try:
+        settings = msgspec.json.decode(path.read_bytes(), type=Settings)
+    except (OSError, msgspec.DecodeError) as fault:
+        raise Fault([f"{path}: {fault}"]) from fault
+    lines = []
+    for what, address in [
+        ("public_addr", settings.public_addr),
+        ("cluster_listen", settings.cluster_listen),
+        ("external.cloud", settings.external.cloud),
+        ("external.state", settings.external.state),
+        *[(f"peers[{i}].address", p.address) for i, p in enumerate(settings.peers)],
+    ]:
+        host, _, port = address.rpartition(":")
+        if not host or not port.isdigit() or not 0 < int(port) < 65536:
+            lines.append(f"{path}: {what}: expected ADDRESS:PORT, got {address!r}")
+    names = [name for name, _, _ in settings.members()]
+    if len(set(names)) != len(names):
+        lines.append(f"{path}: peers: a host_name appears twice")
+    if lines:
+        raise Fault(lines)
+    return settings
+
+
+def load_tuning(path: Path | None) -> Tuning:
+    if path is None:
+        return Tuning()
+    try:
+        return msgspec.toml.decode(path.read_bytes(), type=Tuning)
+    except (OSError, msgspec.DecodeError) as fault:
+        raise Fault([f"{path}: {fault}"]) from fault
+
+
+def split_address(address: str) -> tuple[str, int]:
+    host, _, port = address.rpartition(":")
+    return host, int(port)
--- /dev/null
+++ b/starlingdeck/storage/__init__.py
@@ -0,0 +1,1 @@
+"""The state service and what is kept in it."""
--- /dev/null
+++ b/starlingdeck/storage/records.py
@@ -0,0 +1,113 @@
+"""Bookkeeping: what is kept in the state service, and under which keys.
+
+c/n/NODE        a living controller, on its lease
+c/s/SHARD       who holds a shard, on its holder's lease; the stamp is the token
+c/i/SHARD/JOB   a note to the holder that another node changed this job
+c/r/FROM-TO     messages between controllers that can't reach each other
+j/SHARD/JOB     an unfinished job with its first tasks
+t/SHARD/JOB/C   further tasks of a large job
+f/SHARD/JOB     the final state of a job, for ever
+q/TEAM          how a team's limit is split over the shards
+m/types         the machine types last seen
+"""
+
+from array import array
+
+import msgspec
+
+from starlingdeck.protocol.api import JobSpec
+
+CHUNK = 256
+CLUSTER = "c/"
+NODES = "c/n/"
+SHARDS = "c/s/"
+INBOX = "c/i/"
+RELAY = "c/r/"
+TYPES = "m/types"
+
+
+class NodeValue(msgspec.Struct):
+    node: int
+    boot: int
+
+
+class ShardValue(msgspec.Struct):
+    node: int
+    gen: int
+
+
+class Chunk(msgspec.Struct, omit_defaults=True):
+    """Tasks CHUNK*c … of a job: attempts used, which are done, where the others are."""
+
+    tries: list[int] = []
+    done: str = ""
+    on: list[tuple[int, int, str, int, str]] = []  # task, attempt, machine, session, zone
+
+
+class JobRecord(msgspec.Struct, omit_defaults=True):
+    spec: JobSpec
+    at_ms: int
+    cancelled: bool = False
+    chunk: Chunk = msgspec.field(default_factory=Chunk)
+
+
+class FinalRecord(msgspec.Struct):
+    state: str
+    tasks: int
+
+
+def node_key(node: int) -> str:
+    return f"{NODES}{node}"
+
+
+def shard_key(shard: int) -> str:
+    return f"{SHARDS}{shard}"
+
+
+def job_key(shard: int, job: str) -> str:
+    return f"j/{shard}/{job}"
+
+
+def chunk_key(shard: int, job: str, chunk: int) -> str:
+    return f"t/{shard}/{job}/{chunk:04d}"
+
+
+def final_key(shard: int, job: str) -> str:
+    return f"f/{shard}/{job}"
+
+
+def inbox_key(shard: int, job: str) -> str:
+    return f"{INBOX}{shard}/{job}"
+
+
+def relay_key(sender: int, to: int) -> str:
+    return f"{RELAY}{sender}-{to}"
+
+
+def quota_key(team: int) -> str:
+    return f"q/{team}"
+
+
+def pack_done(state: "array[int]", first: int, done: int) -> str:
+    bits = 0
+    for i, value in enumerate(state[first : first + CHUNK]):
+        if value == done:
+            bits |= 1 << i
+    return f"{bits:x}" if bits else ""
+
+
+def unpack_done(text: str) -> list[int]:
+    bits, found, i = int(text, 16) if text else 0, [], 0
+    while bits:
+        if bits & 1:
+            found.append(i)
+        bits >>= 1
+        i += 1
+    return found
+
+
+def pack_tries(tries: "array[int]", first: int) -> list[int]:
+    part = list(tries[first : first + CHUNK])
+    while part and not part[-1]:
+        part.pop()
+    return part
--- /dev/null
+++ b/starlingdeck/storage/state.py
@@ -0,0 +1,147 @@
+"""The state service's client: conditions, leases, watches, and honest failures."""
+
+from collections.abc import Callable
+from typing import Any, TypeVar
+
+import msgspec
+
+from starlingdeck.protocol import api
+from starlingdeck.storage.limiter import Limiter
+from starlingdeck.transport.client import HttpClient, NoAnswer, NotSent, Reply
+
+T = TypeVar("T")
+
+
+class StateError(Exception):
+    """The call was not executed: refused, out of budget, or nobody there."""
+
+
+class StateUnknown(StateError):
+    """No usable answer: the call may have been executed, or may be executed later."""
+
+
+class Conflict(Exception):
+    """A condition did not hold; nothing was changed."""
+
+    def __init__(self, failed: list[str]) -> None:
+        super().__init__(f"changed meanwhile: {failed}")
+        self.failed = failed
+
+
+class LeaseLost(Exception):
+    """The lease is over."""
+
+
+class TooOld(Exception):
+    """The watch's revision is forgotten; read the keys again."""
+
+
+def put(key: str, value: Any, lease: int | None = None) -> api.Change:
+    return api.Change(put=key, value=value, lease=lease)
+
+
+def drop(key: str) -> api.Change:
+    return api.Change(delete=key)
+
+
+class StateClient:
+    def __init__(
+        self, http: HttpClient, address: str, limit: "StateLimit", now: Callable[[], float]
+    ) -> None:
+        self.http = http
+        self.address = address
+        self.limit = limit
+        self.now = now
+        self.timeout_s = 2.0
+        self.calls = 0
+
+    async def _call(
+        self, method: str, path: str, body: Any, timeout_s: float | None = None
+    ) -> Reply:
+        data = None if body is None else msgspec.json.encode(body)
+        self.calls += 1
+        try:
+            reply = await self.http.call(
+                self.address, method, path, data, timeout_s or self.timeout_s
+            )
+        except NotSent as fault:
+            raise StateError(str(fault)) from fault
+        except NoAnswer as fault:
+            raise StateUnknown(str(fault)) from fault
+        if reply.status in (429, 503):
+            raise StateError(f"{reply.status}")
+        return reply
+
+    async def get(self, key: str, urgent: bool = False) -> api.Entry | None:
+        await self.limit.reads.take(1, urgent)
+        reply = await self._call("GET", f"{api.KV}/{key}", None)
+        if reply.status == 404:
+            return None
+        return _decode(reply, api.Entry)
+
+    async def read(self, prefix: str) -> tuple[list[api.Entry], int]:
+        """All entries, and the revision of the first page (later changes come by watch)."""
+        found: list[api.Entry] = []
+        revision, after = -1, None
+        while True:
+            await self.limit.reads.take(1, True)
+            page = _decode(
+                await self._call("GET", api.list_query(prefix, after, 500), None, 5.0), api.Entries
+            )
+            found += page.items
+            revision = page.revision if revision < 0 else revision
+            if not page.more or not page.items:
+                return found, revision
+            after = page.items[-1].key
+
+    async def txn(
+        self, conditions: dict[str, int], changes: list[api.Change], urgent: bool = False
+    ) -> int:
+        await self.limit.reads.take(1, urgent)
+        await self.limit.writes.take(len(changes), urgent)
+        body = api.Txn([api.Condition(k, v) for k, v in conditions.items()], changes)
+        reply = await self._call("POST", api.TXN, body)
+        if reply.status == 409:
+            raise Conflict(_decode(reply, api.TxnFailed).failed)
+        if reply.status == 400 and b"lease" in reply.body:
+            raise LeaseLost
+        return _decode(reply, api.TxnDone).revision
+
+    async def lease(self, ttl_s: float) -> int:
+        await self.limit.reads.take(1, True)
+        reply = await self._call("POST", api.LEASES, api.LeaseAsk(int(ttl_s * 1000)))
+        return _decode(reply, api.LeaseGrant).lease
+
+    async def renew(self, lease: int) -> None:
+        await self.limit.reads.take(1, True)
+        reply = await self._call("POST", f"{api.LEASES}/{lease}/{api.RENEW}", None, 1.0)
+        if reply.status == 404:
+            raise LeaseLost
+        if reply.status != 200:
+            raise StateUnknown(f"renewal answered {reply.status}")
+
+    async def watch(self, prefix: str, after: int, wait_s: float) -> api.Events:
+        await self.limit.reads.take(1, True)
+        path = api.watch_query(prefix, after, int(wait_s * 1000))
+        reply = await self._call("GET", path, None, wait_s + 5.0)
+        if reply.status == 410:
+            raise TooOld
+        return _decode(reply, api.Events)
+
+
+class StateLimit:
+    """This node's share of the state service's two budgets."""
+
+    def __init__(self, rps: float, write_rps: float, nodes: int, now: Callable[[], float]) -> None:
+        self.reads = Limiter(rps * 0.9 / nodes, 1.0, now)
+        self.writes = Limiter(write_rps * 0.9 / nodes, 1.0, now)
+
+
+def _decode(reply: Reply, kind: type[T]) -> T:
+    # A nonsense answer says nothing of what was executed: the caller must look again.
+    if reply.status != 200:
+        raise StateUnknown(f"answered {reply.status}")
+    try:
+        return msgspec.json.decode(reply.body, type=kind)
+    except msgspec.DecodeError as fault:
+        raise StateUnknown(f"nonsense: {fault}") from fault
--- /dev/null
+++ b/starlingdeck/transport/__init__.py
@@ -0,0 +1,1 @@
+"""Bytes in and out: HTTP server, pooled HTTP client, peer frames."""
--- /dev/null
+++ b/starlingdeck/transport/frames.py
@@ -0,0 +1,79 @@
+"""Length-prefixed frames between controllers; the payload is opaque here."""
+
+import struct
+from collections.abc import Awaitable, Callable
+
+import curio
+import curio.io
+
+from starlingdeck.transport.client import connect
+from starlingdeck.transport.server import listen
+
+MAX_FRAME = 4 * 1024 * 1024
+LENGTH = struct.Struct("!I")
+
+
+class FrameLink:
+    """One connection carrying frames both ways. Writes are serialised."""
+
+    def __init__(self, sock: curio.io.Socket) -> None:
+        self.sock = sock
+        self.lock = curio.Lock()
+        self.closed = False
+
+    async def send(self, payload: bytes, timeout_s: float) -> None:
+        async with curio.timeout_after(timeout_s), self.lock:
+            await self.sock.sendall(LENGTH.pack(len(payload)) + payload)
+
+    async def receive(self) -> bytes:
+        (size,) = LENGTH.unpack(await self._exactly(LENGTH.size))
+        if size > MAX_FRAME:
+            raise ConnectionError("frame too long")
+        return await self._exactly(size)
+
+    async def _exactly(self, size: int) -> bytes:
+        parts = bytearray()
+        while len(parts) < size:
+            piece = await self.sock.recv(min(65536, size - len(parts)))
+            if not piece:
+                raise ConnectionError("the other side closed")
+            parts += piece
+        return bytes(parts)
+
+    async def close(self) -> None:
+        self.closed = True
+        await self.sock.close()
+
+
+async def dial(address: str, timeout_s: float) -> FrameLink:
+    async with curio.timeout_after(timeout_s):
+        return FrameLink(await connect(address))
+
+
+class FrameServer:
+    def __init__(
+        self, address: tuple[str, int], serve: Callable[[FrameLink], Awaitable[None]], most: int
+    ) -> None:
+        self.address = address
+        self.serve = serve
+        self.most = most
+        self.open = 0
+
+    async def run(self) -> None:
+        sock = listen(self.address)
+        async with sock:
+            while True:
+                client, _ = await sock.accept()
+                if self.open >= self.most:
+                    await client.close()
+                    continue
+                self.open += 1
+                await curio.spawn(self._one, client, daemon=True)
+
+    async def _one(self, client: curio.io.Socket) -> None:
+        link = FrameLink(client)
+        try:
+            await self.serve(link)
+        finally:
+            self.open -= 1
+            await link.close()
--- /dev/null
+++ b/tests/build.py
@@ -0,0 +1,100 @@
+"""Builds the small worlds that tests use. No clock, no network: time is a number."""
+
+import random
+from typing import Any
+
+import msgspec
+
+from starlingdeck.coordination.world import World
+from starlingdeck.protocol.api import JobSpec, MachineType
+from starlingdeck.protocol.settings import Settings, Tuning
+
+
+class Clock:
+    def __init__(self) -> None:
+        self.at = 1000.0
+
+    def now(self) -> float:
+        return self.at
+
+    def wall_ms(self) -> int:
+        return int(self.at * 1000)
+
+
+def settings_dict(zones: tuple[str, ...] = ("a", "b", "a")) -> dict[str, Any]:
+    peers = [
+        {"host_name": f"n-{i}", "zone": z, "address": f"127.0.0.1:{9100 + i}"}
+        for i, z in enumerate(zones)
+    ]
+    return {
+        "host_name": "n-0",
+        "zone": zones[0],
+        "public_addr": "127.0.0.1:9000",
+        "cluster_listen": "127.0.0.1:9100",
+        "peers": peers[1:],
+        "external": {"cloud": "127.0.0.1:9300", "state": "127.0.0.1:9400"},
+        "settings": {
+            "nodes": len(zones),
+            "zones": sorted(set(zones)),
+            "teams": [
+                {"name": "blue", "cpus": 8.0, "cpus_max": 24.0},
+                {"name": "red", "cpus": 0.0, "cpus_max": 0.0},
+            ],
+            "objectives": [{"kind": "finished", "class": "batch", "within_s": 100.0, "share": 0.9}],
+            "workers": {"report_s": 1.0, "lease_s": 10.0, "cancel_s": 40.0},
+            "state": {"rps": 200.0, "write_rps": 60.0, "value_kb": 16.0, "txn_ops": 12},
+            "cloud": {"rps": 3.0, "list_lag_s": 3.0},
+            "machine_limits": {"cores": 0.5, "mem_mb": 128.0, "max_connections": 500},
+            "skew_ms": 250.0,
+        },
+    }
+
+
+def make_world(
+    clock: Clock, seed: int = 1, zones: tuple[str, ...] = ("a", "b", "a"), node: int = 0
+) -> World:
+    raw = settings_dict(zones)
+    settings = msgspec.convert(raw, Settings)
+    if node:
+        names = [("n-0", zones[0], raw["cluster_listen"])]
+        names += [(p["host_name"], p["zone"], p["address"]) for p in raw["peers"]]
+        own = names.pop(node)
+        raw["host_name"], raw["zone"], raw["cluster_listen"] = own
+        raw["peers"] = [{"host_name": n, "zone": z, "address": a} for n, z, a in names]
+        settings = msgspec.convert(raw, Settings)
+    world = World(settings, Tuning(), clock.now, clock.wall_ms, random.Random(seed))
+    world.learn_types(
+        [MachineType("small", 4.0, 16.0, ["a", "b"]), MachineType("big", 16.0, 64.0, ["a", "b"])]
+    )
+    return world
+
+
+def job_body(uid: str = "j-000001", **other: Any) -> dict[str, Any]:
+    body: dict[str, Any] = {
+        "uid": uid,
+        "flock": "batch",
+        "crew": "red",
+        "shape": "sweep",
+        "rank": "normal",
+        "chores": 3,
+        "cores": 2.0,
+        "accelerators": 0.0,
+        "ram_gb": 4.0,
+        "kit": "img",
+        "image_gb": 1.0,
+        "builds": None,
+        "roost": None,
+        "same_place": False,
+        "spread": False,
+        "loaners": False,
+        "guess_s": 10.0,
+        "mark_s": 0.0,
+        "stash_s": 0.0,
+        "due_s": None,
+    }
+    body.update(other)
+    return body
+
+
+def spec(uid: str = "j-000001", **other: Any) -> JobSpec:
+    return msgspec.convert(job_body(uid, **other), JobSpec)
--- /dev/null
+++ b/tests/test_decisions.py
@@ -0,0 +1,122 @@
+"""Pure decisions against slow plain models."""
+
+import itertools
+import random
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from starlingdeck.coordination import placement, scheduler, shards, shedding
+from starlingdeck.coordination.jobs import new_job
+from starlingdeck.coordination.placement import Room
+from starlingdeck.coordination.scheduler import TeamJob
+from tests.build import Clock, make_world, spec
+
+amounts = st.integers(1, 8).map(float)
+
+
+def plain_start_score(used: list[float], total: list[float]) -> float:
+    shares = [u / t for u, t in zip(used, total, strict=True) if t > 0]
+    score = 1 - max(shares) - (max(shares) - min(shares)) / 2
+    return score - 2 if max(shares) > 0.9 else score
+
+
+@settings(derandomize=True, max_examples=200, deadline=None)
+@given(st.lists(st.tuples(amounts, amounts, st.booleans()), min_size=1, max_size=6), amounts)
+def test_start_takes_the_best_machine_that_fits(
+    machines: list[tuple[float, float, bool]], size: float
+) -> None:
+    rooms = [
+        Room(i, 0, 0, False, 0, (8.0, 0.0, 8.0), [c, 0.0, m], images={"img"} if image else set())
+        for i, (c, m, image) in enumerate(machines)
+    ]
+    need = (size, 0.0, size)
+    got = placement.choose_start(rooms, need, "img", False, 200, random.Random(1))
+    fitting = [r for r in rooms if r.free[0] >= size and r.free[2] >= size]
+    if not fitting:
+        assert got is None
+        return
+    cached = [r for r in fitting if "img" in r.images] or fitting
+    best = max(
+        plain_start_score([8 - r.free[0] + size, 8 - r.free[2] + size], [8.0, 8.0]) for r in cached
+    )
+    assert got is not None and got in cached
+    assert abs(placement.start_score(got.shares_with(need)) - best) < 1e-9
+
+
+@settings(derandomize=True, max_examples=60, deadline=None)
+@given(st.lists(st.tuples(amounts, st.integers(1, 50), st.booleans()), min_size=1, max_size=6))
+def test_shed_makes_the_rest_fit_whenever_that_is_possible(
+    loads: list[tuple[float, int, bool]],
+) -> None:
+    total = (10.0, 0.0, 100.0)
+    tasks = [
+        shedding.Load(i, (c, 0.0, 1.0), float(cost), pinned)
+        for i, (c, cost, pinned) in enumerate(loads)
+    ]
+    got = shedding.pick(total, tasks, 25, 5, 6, random.Random(1))
+    left = sum(t.size[0] for t in tasks if t.key not in got)
+    movable = [t.key for t in tasks if not t.pinned]
+    possible = any(
+        sum(t.size[0] for t in tasks if t.key not in gone) <= 10
+        for n in range(len(movable) + 1)
+        for gone in itertools.combinations(movable, n)
+    )
+    assert not any(tasks[k].pinned for k in got)
+    if possible:
+        assert left <= 10
+    if sum(t.size[0] for t in tasks) <= 10:
+        assert got == []
+
+
+def test_refit_never_offers_a_machine_that_services_need() -> None:
+    rooms = [Room(i, 0, 0, False, 0, (8.0, 0.0, 8.0), [float(i), 0.0, 8.0]) for i in range(9)]
+    got = placement.choose_refit(
+        rooms, (2.0, 0.0, 2.0), 2000, 15, random.Random(3), lambda r: r.index % 2 == 0
+    )
+    open_ = [r.index for r in got if r.free[0] >= 2]
+    assert sorted(r.index for r in got) == [0, 2, 4, 6, 8]
+    # Forced candidates, fitting only by total room, come last.
+    assert [r.index for r in got][: len(open_)] == open_
+
+
+@settings(derandomize=True, max_examples=200, deadline=None)
+@given(st.lists(st.tuples(st.integers(0, 20), st.integers(1, 6)), max_size=8))
+def test_guarantee_covers_the_earliest_jobs(jobs: list[tuple[int, int]]) -> None:
+    world = make_world(Clock())
+    found = [TeamJob(0, at, f"j-{i}", float(c), 0.0) for i, (at, c) in enumerate(jobs)]
+    inside = scheduler.guaranteed_jobs(world, found)
+    total = 0.0
+    for job in sorted(found, key=lambda j: (j.at_ms, j.id)):
+        total += job.cpus
+        assert (job.id in inside) == (total <= 8.0)
+
+
+def test_a_machine_stays_with_a_controller_of_its_zone() -> None:
+    zones = ["a", "b", "a"]
+    for i in range(50):
+        assert zones[shards.machine_shard(f"vm-{i}", "b", zones)] == "b"
+        assert zones[shards.machine_shard(f"vm-{i}", "a", zones)] == "a"
+    assert {shards.machine_shard(f"vm-{i}", "c", zones) for i in range(50)} == {0, 1, 2}
+    assert shards.heirs(0, zones, [1, 2]) == [2, 1]
+
+
+def test_spread_keeps_at_most_half_rounded_up_in_a_zone() -> None:
+    world = make_world(Clock())
+    job = new_job(world, spec(chores=5, spread=True, cores=1.0), 0, 0)
+    rooms = [
+        Room(0, world.type_names.put("big"), 0, False, 0, (16.0, 0.0, 64.0), [16.0, 0.0, 64.0]),
+        Room(1, world.type_names.put("big"), 1, False, 1, (16.0, 0.0, 64.0), [3.0, 0.0, 64.0]),
+    ]
+    picks, _ = scheduler.plan(world, [job], rooms, lambda j: 99, 99)
+    zones = [p.room.zone for p in picks]
+    assert len(zones) == 5 and max(zones.count(0), zones.count(1)) == 3
+
+
+def test_one_zone_job_never_leaves_its_first_zone() -> None:
+    world = make_world(Clock())
+    job = new_job(world, spec(chores=4, same_place=True), 0, 0)
+    rooms = [Room(i, 0, i, False, i, (16.0, 0.0, 64.0), [4.0, 0.0, 64.0]) for i in range(2)]
+    picks, waiting = scheduler.plan(world, [job], rooms, lambda j: 99, 99)
+    assert len({p.room.zone for p in picks}) == 1 and len(picks) == 2
+    assert waiting and waiting[0][0] is job
--- /dev/null
+++ b/tests/test_doors.py
@@ -0,0 +1,145 @@
+"""What comes in from outside: bodies, settings, records, frames."""
+
+from typing import Any
+
+import msgspec
+import pytest
+
+from starlingdeck.coordination import peers, users
+from starlingdeck.coordination.jobs import PLACED, Place, encode_chunk, load_job, new_job
+from starlingdeck.protocol import api
+from starlingdeck.protocol import peer_pb2 as pb
+from starlingdeck.protocol.settings import Fault, load_settings, load_tuning
+from starlingdeck.storage.limiter import Limiter
+from starlingdeck.storage.records import CHUNK, JobRecord
+from tests.build import Clock, job_body, make_world, settings_dict, spec
+
+
+@pytest.mark.parametrize(
+    ("change", "names"),
+    [
+        ({"chores": 0}, "chores"),
+        ({"chores": 100_001}, "chores"),
+        ({"chores": 1.5}, "chores"),
+        ({"cores": -1}, "cores"),
+        ({"cores": "4"}, "cores"),
+        ({"cores": True}, "cores"),
+        ({"uid": "job 1"}, "uid"),
+        ({"shape": "gang"}, "shape"),
+        ({"rank": "top"}, "rank"),
+        ({"spread": 1}, "spread"),
+        ({"builds": "g8"}, "builds"),
+        ({"due_s": -1.0}, "due_s"),
+    ],
+)
+def test_a_bad_field_is_named(change: dict[str, Any], names: str) -> None:
+    with pytest.raises(api.FieldFault, match=names):
+        api.decode_job(msgspec.json.encode(job_body(**change)))
+
+
+@pytest.mark.parametrize("body", [b"", b"[]", b"{", b'{"cores":NaN}', b"\xff\xfe"])
+def test_what_is_no_object_is_refused(body: bytes) -> None:
+    with pytest.raises(api.FieldFault):
+        api.decode_job(body)
+
+
+def test_null_fields_may_be_left_out_and_unknown_ones_are_ignored() -> None:
+    body = job_body(novelty=7)
+    for name in ("builds", "roost", "due_s"):
+        del body[name]
+    assert api.decode_job(msgspec.json.encode(body)).types is None
+    del body["cores"]
+    with pytest.raises(api.FieldFault, match="cores"):
+        api.decode_job(msgspec.json.encode(body))
+
+
+@pytest.mark.parametrize(
+    ("change", "says"),
+    [
+        ({"crew": "green"}, "team"),
+        ({"cores": 17.0}, "fits no"),
+        ({"builds": ["huge"]}, "fits no"),
+        ({"roost": "z"}, "fits no"),
+        ({"accelerators": 1.0}, "fits no"),
+        ({"crew": "blue", "shape": "daemon", "cores": 9.0, "chores": 3}, "limit"),
+        ({"crew": "blue", "shape": "sweep", "cores": 9.0, "chores": 3}, ""),
+        ({}, ""),
+    ],
+)
+def test_what_can_never_run(change: dict[str, Any], says: str) -> None:
+    reason = users.never(make_world(Clock()), spec(**change))
+    assert says in reason and bool(says) == bool(reason)
+
+
+def test_settings_faults_are_one_line_each(tmp_path) -> None:  # type: ignore[no-untyped-def]
+    path = tmp_path / "s.json"
+    raw = settings_dict()
+    raw["unknown"] = 1
+    path.write_bytes(msgspec.json.encode(raw))
+    assert load_settings(path).name == "n-0"
+    raw["public_addr"] = "nowhere"
+    raw["external"]["cloud"] = "x:99999"
+    path.write_bytes(msgspec.json.encode(raw))
+    with pytest.raises(Fault) as caught:
+        load_settings(path)
+    assert len(caught.value.lines) == 2
+    tuning = tmp_path / "t.toml"
+    tuning.write_text("moves_per_s = 3.0\nidel_s = 5.0\n")
+    with pytest.raises(Fault, match="idel_s"):
+        load_tuning(tuning)
+
+
+def test_a_record_comes_back_as_it_was_written() -> None:
+    world = make_world(Clock())
+    job = new_job(world, spec(chores=CHUNK + 10), 1, 5)
+    places = {
+        t: Place(world.machines.put(f"vm-{t}"), 3, 2, 1, world.zones.put("b"))
+        for t in (0, 7, CHUNK + 3)
+    }
+    ends = {0: api.W_DONE, 7: api.W_ERROR}
+    for t in (0, 7):
+        job.places[t], job.state[t], job.tries[t] = places[t], PLACED, 1
+    late = {CHUNK + 3: places[CHUNK + 3]}
+    chunks = [encode_chunk(world, job, n, ends, late) for n in (0, 1)]
+    copies = [msgspec.json.decode(msgspec.json.encode(c), type=type(c)) for c in chunks]
+    back = load_job(world, 1, JobRecord(job.spec, 5, False, copies[0]), {1: copies[1]})
+    assert back.finished == 1 and back.state[0] == 2 and back.state[7] == 0
+    assert list(back.places) == [CHUNK + 3]
+    place = back.places[CHUNK + 3]
+    assert (place.machine, place.session, place.attempt) == (places[CHUNK + 3].machine, 3, 2)
+    assert back.tries[7] == 1 and back.tries[CHUNK + 3] == 2
+
+
+def test_a_full_chunk_fits_a_value() -> None:
+    world = make_world(Clock())
+    job = new_job(world, spec(chores=CHUNK), 0, 0)
+    for t in range(CHUNK):
+        index = world.machines.put(f"vm-{t:06d}")
+        job.places[t] = Place(index, 1000, 20, 0, world.zones.put("ljubljana-rack"))
+    record = JobRecord(job.spec, 0, False, encode_chunk(world, job, 0, {}, {}))
+    assert len(msgspec.json.encode(record)) < 16_000
+
+
+def test_the_detour_carries_messages_and_refuses_garbage() -> None:
+    sent = [pb.Envelope(sender=1, view=pb.View(shard=2, gen=9)), pb.Envelope(nothing=pb.Nothing())]
+    back = peers.unpack(peers.pack(sent))
+    assert back[0].view.gen == 9 and len(back) == 2
+    for text in ("!!", "AAAA", peers.pack(sent)[:-9]):
+        with pytest.raises(ValueError):
+            peers.unpack(text)
+
+
+def test_the_limiter_keeps_the_rate_and_a_reserve_for_the_urgent() -> None:
+    clock = Clock()
+    limiter = Limiter(10.0, 1.0, clock.now)
+    ordinary = urgent = 0
+    for _ in range(100):
+        ordinary += limiter.delay(1.0, False) == 0.0
+    for _ in range(100):
+        urgent += limiter.delay(1.0, True) == 0.0
+    assert 5 <= ordinary <= 7 and ordinary + urgent == 10
+    granted = 0
+    for _ in range(1000):
+        clock.at += 0.01
+        granted += limiter.delay(1.0, True) == 0.0
+    assert 95 <= granted <= 101
