--- a/starlingdeck/coordination/jobs.py
+++ b/starlingdeck/coordination/jobs.py
@@ -36,8 +36,10 @@
     listed_gen: int = 0
     seen: int = api.PENDING
     since: float = 0.0
-    moving: bool = False
     grace_s: float = 0.0
+    shed: bool = False
+    target: "Place | None" = None  # where it goes once it has stopped (DESIGN 5)
+    target_until: float = 0.0
 
 
 @dataclass(slots=True)
@@ -222,6 +224,7 @@
                 elif machine.dead and place.session == machine.session and current and view.valid:
                     proof = "its machine's lease is over"
                 elif item is not None:
+                    place.shed = item.shed
                     if item.state != place.seen:
                         place.seen, place.since = item.state, now
                         changed = True
@@ -245,6 +248,11 @@
             why = api.W_ERROR
         job.ends[task] = why
         self.dirty.add(job.index)
+        target = place.target
+        moves = target is not None and why != api.W_DONE and not job.cancelled
+        if moves and target is not None and self.world.now() < place.target_until:
+            # The source has confirmed the stop: the reserved target takes the task.
+            job.starts[task] = target
         log.info(
             "task %s attempt %d: freed from %s (%s)",
             api.task_name(job.id, task),
@@ -296,7 +304,7 @@
                     attempt=place.attempt,
                     machine=world.machines[place.machine],
                     session=place.session,
-                    stop=job.cancelled or place.moving,
+                    stop=job.cancelled or place.target is not None,
                     grace_s=0.0 if job.cancelled else place.grace_s,
                 )
         return out
--- a/starlingdeck/coordination/machines.py
+++ b/starlingdeck/coordination/machines.py
@@ -9,6 +9,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
+from starlingdeck.coordination import shedding
 from starlingdeck.coordination.names import split_key, task_key
 from starlingdeck.coordination.shards import job_shard
 from starlingdeck.coordination.world import Size, World, total_of
@@ -32,6 +33,7 @@
     service: bool
     spot: bool
     guaranteed: bool
+    estimate_s: float
 
 
 @dataclass(slots=True)
@@ -90,6 +92,7 @@
     holds: dict[int, Hold] = field(default_factory=dict)
     refused: set[tuple[int, int]] = field(default_factory=set)
     evict: dict[int, float] = field(default_factory=dict)
+    shed: set[int] = field(default_factory=set)
     images: dict[str, float] = field(default_factory=dict)
     doubt: int = 0
     dead: bool = False
@@ -157,6 +160,7 @@
             job.service,
             job.spot,
             job.guaranteed,
+            job.estimate_s,
         )
         return index
 
@@ -374,7 +378,7 @@
             return out
         job = self._learn(msg.job)
         info = self.jobs[job]
-        until = self.world.now() + self.world.tuning.reserve_s
+        until = self.world.now() + (msg.hold_s or self.world.tuning.reserve_s)
         for spot in msg.spots:
             machine = self.machines.get(self.world.machines.put(spot.machine))
             if machine is None or not self.drawable(machine):
@@ -382,6 +386,7 @@
             key = task_key(job, spot.task)
             if key in machine.tasks or key in machine.launches:
                 continue
+            machine.holds.pop(key, None)
             free = self.free(machine)
             if free is None:
                 continue
@@ -425,6 +430,63 @@
             )
         return True
 
+    # --- shedding (DESIGN 3)
+
+    def shed(self) -> None:
+        """Choose what every machine gives up: what breaks a constraint, then by tabu search.
+
+        A spot notice breaks the constraint of all work that won't be over in time.
+        """
+        now = self.world.now()
+        for machine in self.machines.values():
+            chosen: set[int] = set()
+            live = {k: s for k, s in machine.tasks.items() if s.state in (api.FETCHING, api.ON)}
+            if machine.notice_until is not None and not machine.dead:
+                left = machine.notice_until - now
+                for key, seen in live.items():
+                    info = self.jobs.get(split_key(key)[0])
+                    if info is None:
+                        continue
+                    over = info.estimate_s * 1.2 - (now - seen.since)
+                    if info.service or seen.state == api.FETCHING or over > left:
+                        chosen.add(key)
+                    if info.checkpoint_s > 0 and left < info.save_s + 2.0 + 0.1 * left:
+                        # Nobody took it in time: at least its progress is saved.
+                        machine.evict.setdefault(key, info.save_s + 1.0)
+            else:
+                chosen = self._overfull(machine, live)
+            if chosen != machine.shed:
+                machine.shed = chosen
+                self.changed = True
+
+    def _overfull(self, machine: Machine, live: dict[int, Seen]) -> set[int]:
+        """By what the report shows, not by what was promised."""
+        total = self.total(machine)
+        if total is None or machine.dead:
+            return set()
+        use = [0.0, 0.0, 0.0]
+        for key in live:
+            info = self.jobs.get(split_key(key)[0])
+            if info is None:
+                return set()
+            use = [a + b for a, b in zip(use, info.size, strict=True)]
+        if all(u <= t + 1e-9 for u, t in zip(use, total, strict=True)):
+            return set()
+        world, now = self.world, self.world.now()
+        kind = world.types[machine.type]
+        loads = []
+        for key, seen in live.items():
+            info = self.jobs[split_key(key)[0]]
+            fetch = info.image_gb / kind.fetch_gb_per_s if kind.fetch_gb_per_s > 0 else 0.0
+            ran = now - seen.since if seen.state == api.ON else 0.0
+            cost = shedding.move_cost(ran, info.checkpoint_s > 0, info.checkpoint_s, fetch)
+            loads.append(shedding.Load(key, info.size, cost))
+        t = world.tuning
+        picked = shedding.pick(
+            total, loads, t.tabu_restarts, t.tabu_steps, t.tabu_patience, world.rng
+        )
+        return set(picked)
+
     # --- commands
 
     def reconcile(self) -> list[Machine]:
@@ -573,6 +635,7 @@
                     state=seen.state,
                     why=seen.why,
                     saved=seen.saved,
+                    shed=key in m.shed,
                 )
             for key, launch in m.launches.items():
                 job, number = split_key(key)
--- a/starlingdeck/coordination/node.py
+++ b/starlingdeck/coordination/node.py
@@ -6,7 +6,7 @@
 import curio
 import msgspec
 
-from starlingdeck.coordination import scheduler
+from starlingdeck.coordination import placement, scheduler
 from starlingdeck.coordination.cloud import CloudClient, CloudError, Fleet, learn_types
 from starlingdeck.coordination.fleet import Demand
 from starlingdeck.coordination.jobs import Job, JobShard, Place, job_message
@@ -76,6 +76,7 @@
         self.plan_at = 0.0
         self.room_news = True
         self.preempt_at: dict[int, float] = {}
+        self.moves = Limiter(world.tuning.moves_per_s / world.shards, 1.0, world.now)
         self.taken: list[tuple[float, int, tuple[float, float, float]]] = []
 
     # --- start
@@ -265,6 +266,7 @@
         now = self.world.now()
         for shard, machines in list(self.machines.items()):
             machines.check_silence()
+            machines.shed()
             for machine in machines.reconcile():
                 machine.busy = True
                 orders = machines.orders(machine, valid)
@@ -515,14 +517,15 @@
     async def _plan(self, now: float) -> None:
         if not self.world.types or now < self.plan_at:
             return
-        jobs = [
-            job
-            for writer in self.writers.values()
-            if writer.shard.loaded
-            for job in writer.shard.jobs.values()
-            if not job.cancelled and not job.final and not job.stale and job.pending(1)
-        ]
-        if not jobs:
+        jobs = []
+        shed = False
+        for writer in self.writers.values():
+            for job in writer.shard.jobs.values():
+                if not job.cancelled and not job.final and not job.stale:
+                    if job.pending(1):
+                        jobs.append(job)
+                    shed |= any(p.shed and p.target is None for p in job.places.values())
+        if not jobs and not shed:
             self.demands[self.world.node] = (now, [])
             return
         self.plan_at = now + (0.05 if self.room_news else 0.25)
@@ -536,6 +539,7 @@
         picks, waiting = scheduler.plan(self.world, jobs, rooms, self._spare, 100)
         self.demands[self.world.node] = (now, self._demand(waiting))
         picks += self._preempting(waiting, rooms, now)
+        picks += self._moving(rooms, now)
         groups: dict[tuple[int, int, bool], list[Pick]] = {}
         for pick in picks:
             groups.setdefault((pick.room.shard, pick.job.index, pick.preempt), []).append(pick)
@@ -610,14 +614,61 @@
                 picks.append(Pick(job, task, room, True))
         return picks
 
+    def _moving(self, rooms: list[Room], now: float) -> list[Pick]:
+        """Refit (DESIGN 4): a target for every shed task, as far as the cap on moves goes."""
+        picks = []
+        tuning = self.world.tuning
+        for writer in self.writers.values():
+            for job in writer.shard.jobs.values():
+                if job.cancelled or job.stale:
+                    continue
+                for task, place in job.places.items():
+                    if not place.shed or place.target or task in job.ends or task in job.asking:
+                        continue
+                    if job.retry_at.get(task, 0.0) > now:
+                        continue
+                    zone_ok = scheduler.zones_open(
+                        job,
+                        lambda j=job, p=place: scheduler.zone_use(j, p),  # type: ignore[misc]
+                    )
+                    able = [
+                        r
+                        for r in rooms
+                        if r.drawable
+                        and r.index != place.machine
+                        and zone_ok(r.zone)
+                        and scheduler.allowed(self.world, job, r)
+                        and r.fits(job.size)
+                    ]
+                    drawn = placement.choose_refit(
+                        able,
+                        job.size,
+                        tuning.refit_machines,
+                        tuning.refit_candidates,
+                        self.world.rng,
+                    )
+                    if not drawn or self.moves.delay(1.0, True) > 0:
+                        job.retry_at[task] = now + 0.3
+                        continue
+                    cached = [r for r in drawn if job.spec.image in r.images]
+                    room = (cached or drawn)[0]
+                    job.asking[task] = room.zone
+                    room.free = [f - s for f, s in zip(room.free, job.size, strict=True)]
+                    picks.append(Pick(job, task, room))
+        return picks
+
     async def _reserve(self, group: list[Pick]) -> None:
         """Ask the machines' owner for room; what it gives goes into the job's record."""
         job, shard = group[0].job, group[0].room.shard
         holder = self.membership.holders.get(shard)
         given: dict[int, pb.Given] = {}
+        hold_s = 0.0
         if holder is not None:
             ask = pb.Reserve(to_shard=shard, to_gen=holder.gen, job=job_message(job))
             ask.preempt = group[0].preempt
+            if any(pick.task in job.places for pick in group):
+                # A move's target waits until the source has saved and stopped.
+                ask.hold_s = hold_s = self.world.tuning.reserve_s + job.spec.save_s
             rooms = {}
             for pick in group:
                 rooms[pick.task] = pick.room
@@ -644,9 +695,24 @@
                 if not pick.preempt:
                     job.retry_at[pick.task] = now + 0.1
                 continue
-            job.starts[pick.task] = Place(
+            target = Place(
                 pick.room.index, got.session, got.attempt, shard, pick.room.zone, since=now
             )
+            source = job.places.get(pick.task)
+            if source is None:
+                job.starts[pick.task] = target
+            elif pick.task not in job.ends and hold_s:
+                source.target, source.target_until = target, now + hold_s
+                source.grace_s = job.spec.save_s + 1.0 if job.spec.checkpoint_s > 0 else 0.0
+                moved = api.task_name(job.id, pick.task)
+                log.info(
+                    "task %s: moves from %s to %s",
+                    moved,
+                    self.world.machines[source.machine],
+                    self.world.machines[target.machine],
+                )
+                self.writers[job.shard].shard.wants_changed = True
+                await self.wake.set()
         writer = self.writers.get(job.shard)
         if job.starts and writer is not None and writer.shard.jobs.get(job.index) is job:
             writer.shard.dirty.add(job.index)
--- a/starlingdeck/coordination/placement.py
+++ b/starlingdeck/coordination/placement.py
@@ -1,7 +1,7 @@
 """Scores: where a new task goes (DESIGN 2) and where a moved one goes (DESIGN 4)."""
 
 import random
-from collections.abc import Callable, Sequence
+from collections.abc import Sequence
 from dataclasses import dataclass, field
 
 FULL = 0.9
@@ -89,14 +89,11 @@
     most: int,
     candidates: int,
     rng: random.Random,
-    fits_requested: Callable[[Room], bool],
 ) -> list[Room]:
     """Candidates drawn by score, best first; those fitting only by total room come last."""
     pool = rng.sample(list(rooms), most) if len(rooms) > most else list(rooms)
     open_, forced = [], []
     for room in pool:
-        if not fits_requested(room):
-            continue
         score = refit_score(room.shares_with(size))
         if room.fits(size):
             open_.append((score + 1e-6, room))
--- a/starlingdeck/coordination/scheduler.py
+++ b/starlingdeck/coordination/scheduler.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass
 
-from starlingdeck.coordination.jobs import Job
+from starlingdeck.coordination.jobs import Job, Place
 from starlingdeck.coordination.placement import Room, choose_start
 from starlingdeck.coordination.world import World
 
@@ -96,11 +96,17 @@
     return lambda zone: True
 
 
-def zone_use(job: Job) -> dict[int, int]:
-    """Tasks per zone, counting those recorded, being recorded and being asked for."""
+def zone_use(job: Job, but: Place | None = None) -> dict[int, int]:
+    """Tasks per zone, counting those recorded, being recorded and being asked for.
+
+    `but` is a place about to be left; the task's next place doesn't count against it.
+    """
     used: dict[int, int] = {}
     for place in (*job.places.values(), *job.starts.values()):
-        used[place.zone] = used.get(place.zone, 0) + 1
+        if place is not but:
+            used[place.zone] = used.get(place.zone, 0) + 1
+        if place.target is not None:
+            used[place.target.zone] = used.get(place.target.zone, 0) + 1
     for zone in job.asking.values():
         used[zone] = used.get(zone, 0) + 1
     return used
