--- a/starlingdeck/coordination/cloud.py
+++ b/starlingdeck/coordination/cloud.py
@@ -139,7 +139,7 @@
         rooms = self.rooms()
         up = {world.machines[r.index] for r in rooms if not r.dead}
         names = [m.name for m in self.state.listed.values() if m.state == api.FAILED]
-        names += fleet.stuck(world, self.state, up, now)
+        names += fleet.stuck(world, self.state, up, self.started, now)
         names += [world.machines[r.index] for r in rooms if r.dead and r.silent_s > 30]
         names += [
             world.machines[r.index]
--- a/starlingdeck/coordination/fleet.py
+++ b/starlingdeck/coordination/fleet.py
@@ -6,6 +6,7 @@
 
 from starlingdeck.coordination.placement import Room
 from starlingdeck.coordination.world import Size, World, total_of
+from starlingdeck.protocol import api
 
 
 @dataclass(slots=True)
@@ -62,18 +63,30 @@
     for item in state.listed.values():
         kind = world.types.get(item.type)
         boot = kind.boot_s if kind else 60.0
-        if item.name not in up and item.state != "failed" and now - item.rented < boot * 1.8 + 10:
+        if item.name not in up and item.state != api.FAILED and now - item.rented < boot * 1.8 + 10:
             found.append(item)
     return found
 
 
-def stuck(world: World, state: FleetState, up: set[str], now: float) -> list[str]:
-    """Boots that never came up."""
+def stuck(world: World, state: FleetState, up: set[str], started: float, now: float) -> list[str]:
+    """Boots that never came up, and machines that run but whose worker never reports.
+
+    A controller that has just started has heard nobody yet: on its first steps every
+    machine looks like this, and the whole fleet would be thrown away. So silence counts
+    from when this controller began to look.
+    """
     found = []
     for item in state.listed.values():
+        if item.name in up:
+            continue
         kind = world.types.get(item.type)
         boot = kind.boot_s if kind else 60.0
-        if item.name not in up and now - item.rented > boot * 4 + 30:
+        watched = now - max(started, item.rented)
+        if item.state == api.BOOTING:
+            late = now - item.rented > boot * 4 + 30 and watched > 20
+        else:
+            late = watched > 90
+        if late:
             found.append(item.name)
     return found
 
--- a/starlingdeck/coordination/membership.py
+++ b/starlingdeck/coordination/membership.py
@@ -62,6 +62,7 @@
         self.living: dict[int, float] = {}
         self.absent: dict[int, float] = {}
         self.synced = False
+        self.reached = True
         self.revision = 0
 
     # --- what this node may do
@@ -97,13 +98,18 @@
                 else:
                     await self.state.renew(self.lease)
                     self.renewed = sent
+                if not self.reached:
+                    log.info("state lease renewed again")
+                self.reached = True
             except LeaseLost:
                 log.info("our state lease ended")
                 self.lease = 0
                 await self._drop_all()
                 continue
             except (StateError, Conflict) as fault:
-                log.info("state lease not renewed: %s", fault)
+                if self.reached:
+                    log.info("state lease not renewed: %s", fault)
+                self.reached = False
                 await curio.sleep(0.2 + 0.2 * self.world.rng.random())
                 continue
             await curio.sleep(self.ttl / 4)
@@ -124,7 +130,7 @@
             except TooOld:
                 self.synced = False
             except StateError as fault:
-                log.info("watch failed: %s", fault)
+                log.debug("watch failed: %s", fault)
                 await curio.sleep(0.3 + 0.3 * self.world.rng.random())
                 self.synced = False
 
--- a/starlingdeck/protocol/settings.py
+++ b/starlingdeck/protocol/settings.py
@@ -104,8 +104,8 @@
     tabu_steps: Count = 5  # DESIGN 3
     tabu_patience: Count = 6  # DESIGN 3
     reserve_s: Positive = 6.0  # (start) how long a reservation waits for its record
-    spare_share: Amount = 0.15  # (start) room kept free for failures
-    idle_s: Positive = 120.0  # (start) an unused machine is returned after this
+    spare_share: Amount = 0.3  # (start) room kept free for failures
+    idle_s: Positive = 300.0  # (start) an unused machine is returned after this
     sick_errors: Count = 3  # (start) errors without a success that mark a machine
     suspect_machines: Count = 3  # (start) machines a job fails on before it is suspect
     stall_s: Positive = 10.0  # (start) a half-sent request ends after this
--- /dev/null
+++ b/tests/test_fleet.py
@@ -0,0 +1,74 @@
+"""The rented fleet against the wanted one."""
+
+from starlingdeck.coordination import fleet
+from starlingdeck.coordination.fleet import Demand, FleetState, Listed
+from starlingdeck.coordination.placement import Room
+from starlingdeck.coordination.world import World
+from starlingdeck.protocol import api
+from tests.build import Clock, make_world
+
+
+def listed(world: World, name: str, state: str, rented: float) -> Listed:
+    return Listed(name, world.type_names.put("small"), "a", False, state, rented, rented)
+
+
+def test_a_new_controller_does_not_throw_the_fleet_away() -> None:
+    """After all controllers crashed, the first list came before the first report, every
+    machine looked like a boot that had failed, and all of them were deleted."""
+    clock = Clock()
+    world = make_world(clock)
+    state = FleetState()
+    for i in range(5):
+        state.listed[f"vm-{i}"] = listed(world, f"vm-{i}", "running", clock.at - 500)
+    started = clock.at
+    assert fleet.stuck(world, state, set(), started, started + 1) == []
+    assert fleet.stuck(world, state, {"vm-0"}, started, started + 100) == [
+        f"vm-{i}" for i in range(1, 5)
+    ]
+
+
+def test_a_boot_that_never_comes_up_is_given_back() -> None:
+    clock = Clock()
+    world = make_world(clock)
+    state = FleetState()
+    state.listed["vm-1"] = listed(world, "vm-1", api.BOOTING, clock.at)
+    boot = world.types[world.type_names.put("small")].boot_s
+    assert fleet.stuck(world, state, set(), clock.at - 99, clock.at + boot * 3) == []
+    assert fleet.stuck(world, state, set(), clock.at - 99, clock.at + boot * 4 + 31) == ["vm-1"]
+
+
+def test_demand_is_rented_once() -> None:
+    clock = Clock()
+    world = make_world(clock)
+    state = FleetState()
+    need = [Demand((4.0, 0.0, 4.0), 3, ("small",), "", False, 1, False)]
+    asks = fleet.wanted_asks(world, state, need, [], [], [], clock.at)
+    assert sum(a.count for a in asks) == 3 and not any(a.spot for a in asks)
+    state.asks = asks
+    assert fleet.wanted_asks(world, state, need, [], [], [], clock.at) == []
+    boots = [listed(world, f"vm-{i}", api.BOOTING, clock.at) for i in range(3)]
+    state.asks = []
+    assert fleet.wanted_asks(world, state, need, [], boots, [], clock.at) == []
+
+
+def test_where_there_is_no_capacity_another_kind_is_asked_for() -> None:
+    clock = Clock()
+    world = make_world(clock)
+    state = FleetState()
+    need = Demand((4.0, 0.0, 4.0), 1, (), "", False, 1, False)
+    first = fleet.cheapest(world, state, need, clock.at)
+    assert first is not None
+    state.no_capacity[first] = clock.at + 5
+    second = fleet.cheapest(world, state, need, clock.at)
+    assert second is not None and second != first
+
+
+def test_lost_room_is_replaced_before_anything_waits() -> None:
+    clock = Clock()
+    world = make_world(clock)
+    total = (4.0, 0.0, 16.0)
+    full = [Room(i, 0, 0, False, 0, total, [0.0, 0.0, 8.0]) for i in range(10)]
+    idle = [Room(i, 0, 0, False, 0, total, [4.0, 0.0, 16.0]) for i in range(10)]
+    assert fleet.spare_demand(world, idle, []) == []
+    need = fleet.spare_demand(world, full, [])
+    assert need and need[0].count * 4.0 >= 40 * world.tuning.spare_share
