--- a/starlingdeck/coordination/scheduler.py
+++ b/starlingdeck/coordination/scheduler.py
@@ -151,6 +151,8 @@
                 choices, job.size, job.spec.image, False, world.tuning.score_machines, world.rng
             )
             if room is None:
+                # Where only machines are left that it failed on, those must do.
+                job.avoid.pop(task, None)
                 missed += 1
                 if missed > 3:
                     missed = max(missed, len(job.pending(limit)))
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -23,7 +23,7 @@
         model.step()
     model.settle()
     quiet = ["do_own", "do_report", "do_serve", "do_mail", "do_write", "do_place", "do_orders"]
-    for _ in range(3000):
+    for _ in range(9000):
         model.clock.at += 0.1
         for node in model.nodes:
             model.renew(node)
