--- a/starlingdeck/coordination/fleet.py
+++ b/starlingdeck/coordination/fleet.py
@@ -46,6 +46,7 @@
     state: str
     rented: float
     last_seen: float
+    last_up: float = -1e9
 
 
 @dataclass(slots=True)
@@ -72,18 +73,20 @@
     """Boots that never came up, and machines that run but whose worker never reports.
 
     A controller that has just started has heard nobody yet: on its first steps every
-    machine looks like this, and the whole fleet would be thrown away. So silence counts
-    from when this controller began to look.
+    machine looks like this, and the whole fleet would be thrown away. The same holds for
+    the machines of a shard that has just changed hands. So silence counts from when this
+    controller began to look, and from when it last knew the machine to be up.
     """
     found = []
     for item in state.listed.values():
         if item.name in up:
+            item.last_up = now
             continue
         kind = world.types.get(item.type)
         boot = kind.boot_s if kind else 60.0
-        watched = now - max(started, item.rented)
+        watched = now - max(started, item.rented, item.last_up)
         if item.state == api.BOOTING:
-            late = now - item.rented > boot * 4 + 30 and watched > 20
+            late = now - item.rented > boot * 4 + 30 and watched > 30
         else:
             late = watched > 90
         if late:
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -27,6 +27,20 @@
     ]
 
 
+def test_a_shard_changing_hands_does_not_cost_its_machines() -> None:
+    """A restarted peer's first view named no machine yet, so those of its zone seemed
+    never to have come up and were deleted with their replicas."""
+    clock = Clock()
+    world = make_world(clock)
+    state = FleetState()
+    state.listed["vm-1"] = listed(world, "vm-1", "running", clock.at - 500)
+    state.listed["vm-2"] = listed(world, "vm-2", api.BOOTING, clock.at - 500)
+    started = clock.at - 400
+    assert fleet.stuck(world, state, {"vm-1", "vm-2"}, started, clock.at) == []
+    assert fleet.stuck(world, state, set(), started, clock.at + 5) == []
+    assert fleet.stuck(world, state, set(), started, clock.at + 100) == ["vm-1", "vm-2"]
+
+
 def test_a_boot_that_never_comes_up_is_given_back() -> None:
     clock = Clock()
     world = make_world(clock)
