--- a/starlingdeck/coordination/node.py
+++ b/starlingdeck/coordination/node.py
@@ -14,6 +14,7 @@
 from starlingdeck.coordination.membership import Holder, Hooks, Membership
 from starlingdeck.coordination.peers import PeerDown, Peers, pack, unpack
 from starlingdeck.coordination.placement import Room
+from starlingdeck.coordination.quota import Pair, Quota
 from starlingdeck.coordination.scheduler import Pick, TeamJob
 from starlingdeck.coordination.shards import machine_shard
 from starlingdeck.coordination.users import Users, fault
@@ -24,7 +25,14 @@
 from starlingdeck.protocol.settings import split_address
 from starlingdeck.storage import records
 from starlingdeck.storage.limiter import Limiter
-from starlingdeck.storage.state import Conflict, LeaseLost, StateClient, StateError, StateLimit
+from starlingdeck.storage.state import (
+    Conflict,
+    LeaseLost,
+    StateClient,
+    StateError,
+    StateLimit,
+    StateUnknown,
+)
 from starlingdeck.storage.state import drop as drop_key
 from starlingdeck.storage.state import put as put_key
 from starlingdeck.transport.client import HttpClient, NoAnswer, NotSent
@@ -65,6 +73,8 @@
         self.view_at: dict[int, float] = {}
         self.demands: dict[int, tuple[float, list[pb.Demand]]] = {}
         self.team_jobs: dict[int, list[TeamJob]] = {}
+        self.quota = Quota(world)
+        self.needs: dict[tuple[int, int], Pair] = {}
         self.deleted: dict[str, float] = {}
         self.fleet: Fleet | None = None
         self.wake = curio.Event()
@@ -142,6 +152,11 @@
         shard = writer.shard.shard
         while self.writers.get(shard) is writer and not writer.shard.loaded:
             try:
+                # The former holder may have passed on quota that our watch hasn't shown yet.
+                for entry in (await self.state.read(records.QUOTA))[0]:
+                    team = int(entry.key[len(records.QUOTA) :])
+                    shares = msgspec.json.decode(entry.value, type=list[tuple[float, float]])
+                    self.quota.learn(team, shares, entry.version)
                 await writer.load()
             except (StateError, msgspec.DecodeError) as why:
                 log.info("shard %d not read: %s", shard, why)
@@ -186,6 +201,9 @@
             writer = self.writers.get(int(shard))
             if writer is not None and writer.shard.loaded:
                 await curio.spawn(self._inbox, writer, name, key, daemon=True)
+        elif key.startswith(records.QUOTA):
+            shares = msgspec.json.decode(event.value, type=list[tuple[float, float]])
+            self.quota.learn(int(key[len(records.QUOTA) :]), shares, event.version)
         elif key.startswith(records.RELAY):
             sender, _, to = key[len(records.RELAY) :].partition("-")
             if int(to) == self.world.node and int(sender) != self.world.node:
@@ -437,6 +455,8 @@
             out.holdings.add(shard=shard, node=holder.node, token=holder.token, gen=holder.gen)
         out.demands.extend(self.demands.get(self.world.node, (0.0, []))[1])
         out.deleted.extend(self.deleted)
+        for (team, shard), want in self.needs.items():
+            out.needs.add(team=team, shard=shard, cpus=want[0], gpus=want[1])
         for job in self.own_team_jobs():
             out.jobs.add(team=job.team, at_ms=job.at_ms, id=job.id, cpus=job.cpus, gpus=job.gpus)
         return out
@@ -449,6 +469,8 @@
         self.team_jobs[sender] = [
             TeamJob(j.team, j.at_ms, j.id, j.cpus, j.gpus) for j in hello.jobs
         ]
+        for need in hello.needs:
+            await self._give(need.team, need.shard, (need.cpus, need.gpus))
         fresh = [name for name in hello.deleted if name not in self.deleted]
         if fresh:
             self.note_deleted(fresh)
@@ -527,6 +549,7 @@
                     shed |= any(p.shed and p.target is None for p in job.places.values())
         if not jobs and not shed:
             self.demands[self.world.node] = (now, [])
+            self.needs = {}
             return
         self.plan_at = now + (0.05 if self.room_news else 0.25)
         self.room_news = False
@@ -535,6 +558,7 @@
         for writer in self.writers.values():
             for job in writer.shard.jobs.values():
                 job.guaranteed = job.id in inside
+        await self._note_needs(jobs)
         rooms = self.rooms()
         picks, waiting = scheduler.plan(self.world, jobs, rooms, self._spare, 100)
         self.demands[self.world.node] = (now, self._demand(waiting))
@@ -549,27 +573,105 @@
                     self.taken.append((now + 0.5, pick.room.index, pick.job.size))
             await curio.spawn(self._reserve, group, daemon=True)
 
+    def _used(self, shard: int, team: int) -> Pair:
+        """What a shard's attempts of a team may be using, counted until proven gone."""
+        cpus = gpus = 0.0
+        for job in self.writers[shard].shard.jobs.values():
+            if job.team == team:
+                cpus += job.used() * job.spec.cpus
+                gpus += job.used() * job.spec.gpus
+        return cpus, gpus
+
     def _spare(self, job: Job) -> int:
         """For how many more tasks of a job its shard has quota."""
-        team = self.world.settings.settings.teams[job.team]
+        used = self._used(job.shard, job.team)
+        share = self.quota.share(job.team, job.shard)
         spare = 1_000_000
-        writer = self.writers.get(job.shard)
-        if writer is None:
-            return 0
-        for most, size, field in (
-            (team.cpus_max, job.spec.cpus, 0),
-            (team.gpus_max, job.spec.gpus, 1),
-        ):
-            if most > 0 and size > 0:
-                share = most / self.world.shards
-                used = sum(
-                    j.used() * j.size[field]
-                    for j in writer.shard.jobs.values()
-                    if j.team == job.team
-                )
-                spare = min(spare, int((share - used) / size + 1e-9))
+        for size, have, gone in zip((job.spec.cpus, job.spec.gpus), share, used, strict=True):
+            if size > 0:
+                spare = min(spare, int((have - gone) / size + 1e-9))
         return max(0, spare)
 
+    async def _note_needs(self, jobs: list[Job]) -> None:
+        """Which shards of ours lack quota for what waits; the others may pass some on."""
+        wants: dict[tuple[int, int], Pair] = {}
+        for job in jobs:
+            old = wants.get((job.team, job.shard), (0.0, 0.0))
+            n = len(job.pending(1000))
+            wants[(job.team, job.shard)] = (
+                old[0] + n * job.spec.cpus,
+                old[1] + n * job.spec.gpus,
+            )
+        self.needs = {}
+        for (team, shard), want in wants.items():
+            used, share = self._used(shard, team), self.quota.share(team, shard)
+            short = tuple(w - (s - u) for w, s, u in zip(want, share, used, strict=True))
+            if max(short) > 1e-6:
+                need = (max(0.0, short[0]), max(0.0, short[1]))
+                self.needs[(team, shard)] = need
+                await self._give(team, shard, need)
+
+    async def _give(self, team: int, taker: int, want: Pair) -> None:
+        """Pass on quota that shards of ours don't use, keeping what their own jobs wait for."""
+        if not self.membership.valid() or team >= len(self.world.settings.settings.teams):
+            return
+        for giver, writer in list(self.writers.items()):
+            if not writer.shard.loaded or (team, giver) in self.needs:
+                continue
+            used = self._used(giver, team)
+            after = self.quota.gift(team, giver, taker, want, used)
+            if after is not None:
+                await curio.spawn(self._write_gift, team, giver, writer.shard, after, daemon=True)
+                return
+
+    async def _write_gift(self, team: int, giver: int, shard: JobShard, after: list[Pair]) -> None:
+        key = records.quota_key(team)
+        conditions = {
+            key: self.quota.versions.get(team, 0),
+            records.shard_key(giver): shard.token,
+        }
+        try:
+            version = await self.state.txn(conditions, [put_key(key, after)])
+            self.quota.learn(team, after, version)
+            log.info("team %d: shard %d passed on quota: %s", team, giver, after)
+        except (StateError, Conflict) as why:
+            log.info("team %d: quota not passed on: %r", team, why)
+            # Until the key has been read again the gift counts as made.
+            entry = await self._read_again(key)
+            if entry is not None:
+                shares = msgspec.json.decode(entry.value, type=list[tuple[float, float]])
+                self.quota.learn(team, shares, entry.version)
+            if isinstance(why, StateUnknown):
+                # It may still be executed: only a write after it, or its trace, ends that.
+                await self._settle_gift(key, team)
+        self.quota.settle(team, giver)
+        await self.wake.set()
+
+    async def _settle_gift(self, key: str, team: int) -> None:
+        """Rewrite the key as it is, so that a gift still on its way finds its condition gone."""
+        while True:
+            try:
+                version = self.quota.versions.get(team, 0)
+                shares = self.quota.split(team)
+                stamp = await self.state.txn({key: version}, [put_key(key, shares)])
+                self.quota.learn(team, shares, stamp)
+                return
+            except Conflict:
+                entry = await self._read_again(key)
+                if entry is not None:
+                    shares = msgspec.json.decode(entry.value, type=list[tuple[float, float]])
+                    self.quota.learn(team, shares, entry.version)
+                return
+            except StateError:
+                await curio.sleep(0.5 + 0.5 * self.world.rng.random())
+
+    async def _read_again(self, key: str) -> api.Entry | None:
+        while True:
+            try:
+                return await self.state.get(key)
+            except StateError:
+                await curio.sleep(0.5 + 0.5 * self.world.rng.random())
+
     @staticmethod
     def _demand(waiting: list[tuple[Job, int]]) -> list[pb.Demand]:
         return [
--- a/starlingdeck/storage/records.py
+++ b/starlingdeck/storage/records.py
@@ -7,7 +7,7 @@
 j/SHARD/JOB     an unfinished job with its first tasks
 t/SHARD/JOB/C   further tasks of a large job
 f/SHARD/JOB     the final state of a job, for ever
-q/TEAM          how a team's limit is split over the shards
+c/q/TEAM        how a team's limit is split over the shards
 m/types         the machine types last seen
 """
 
@@ -23,6 +23,7 @@
 SHARDS = "c/s/"
 INBOX = "c/i/"
 RELAY = "c/r/"
+QUOTA = "c/q/"
 TYPES = "m/types"
 
 
@@ -85,7 +86,7 @@
 
 
 def quota_key(team: int) -> str:
-    return f"q/{team}"
+    return f"{QUOTA}{team}"
 
 
 def pack_done(state: "array[int]", first: int, done: int) -> str:
