--- a/starlingdeck/coordination/cloud.py
+++ b/starlingdeck/coordination/cloud.py
@@ -179,7 +179,7 @@
     async def _rent(self) -> None:
         world, now = self.world, self.world.now()
         # After taking over, what was rented before must first show.
-        settled = now - self.started > min(10.0, world.settings.settings.cloud.list_lag_s)
+        settled = now - self.started > min(2.0, world.settings.settings.cloud.list_lag_s)
         if not self.listed_once or not world.types or not settled:
             return
         rooms = self.rooms()
--- a/starlingdeck/coordination/membership.py
+++ b/starlingdeck/coordination/membership.py
@@ -24,8 +24,8 @@
 
 log = logging.getLogger(__name__)
 
-TURN_S = 0.4  # how much later each next heir moves
-GRACE_S = 1.5  # how long others leave an absent shard to its own controller
+TURN_S = 0.3  # how much later each next heir moves
+GRACE_S = 0.3  # how long others leave an absent shard to its own controller
 HAND_BACK_S = 4.0  # how long a returned controller must live before it gets its shard back
 
 
--- a/starlingdeck/coordination/node.py
+++ b/starlingdeck/coordination/node.py
@@ -254,10 +254,7 @@
         shard = machine_shard(report.machine, report.zone, self.world.shard_zones)
         machines = self.machines.get(shard)
         if machines is None or report.token > machines.token:
-            holder = self.membership.holders.get(shard)
-            known = holder is not None and holder.node != self.world.node
-            name = self.world.node_name(holder.node) if known and holder else None
-            return Response(421, msgspec.json.encode(api.Redirect(name)))
+            return Response(421, msgspec.json.encode(api.Redirect(self.redirect(shard))))
         if not self.membership.may_renew_workers():
             return fault(503, "cut off from the state service")
         valid = self.membership.valid()
@@ -270,6 +267,17 @@
         commands = machines.commands_after(machine, valid) if newer else []
         return Response(200, msgspec.json.encode(api.ReportReply(machines.token, commands)))
 
+    def redirect(self, shard: int) -> str | None:
+        """The node to report to; none while the holder can't be reached.
+
+        A worker that is sent to a silent node waits 4 s for it and has 1 s more to wait
+        for the next: twice that, and its lease is over.
+        """
+        holder = self.membership.holders.get(shard)
+        if holder is None or holder.node == self.world.node or not self.peers.up(holder.node):
+            return None
+        return self.world.node_name(holder.node)
+
     # --- the step loop: from what is to what is wanted
 
     async def step_loop(self) -> None:
--- a/starlingdeck/coordination/users.py
+++ b/starlingdeck/coordination/users.py
@@ -199,7 +199,7 @@
             return await self._known(shard, spec.id)
         job.versions[0] = revision
         shard.jobs.setdefault(job.index, job)
-        log.info("job %s: accepted, %d tasks", spec.id, spec.tasks)
+        log.info("job %s: accepted, %d tasks, %s %s", spec.id, spec.tasks, spec.priority, spec.kind)
         self.kick()
         return answer(201, api.JobStatus(spec.id, api.QUEUED))
 
--- a/starlingdeck/protocol/settings.py
+++ b/starlingdeck/protocol/settings.py
@@ -92,7 +92,7 @@
 class Tuning(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Operators' own settings. Values marked (start) are our starting values."""
 
-    state_lease_s: Positive = 4.0  # (start)
+    state_lease_s: Positive = 2.5  # (start)
     reply_wait_s: Positive = 2.0  # DESIGN, timers
     expiry_s: Positive = 20.0  # DESIGN, timers
     offline_drop_s: Positive = 30.0  # DESIGN, timers
