Workers that can't reach their holder are heard through a peer; shards go back to living controllers

Also: starts ride on report answers while direct commands fail. The plain model's calm phase had not let leases end; it does now.

--- a/starlingdeck/coordination/machines.py
+++ b/starlingdeck/coordination/machines.py
@@ -18,6 +18,8 @@
 
 log = logging.getLogger(__name__)
 
+RIDE_S = 5.0  # a worker waits 4 s for the answer to its report
+
 
 @dataclass(slots=True)
 class JobInfo:
@@ -95,6 +97,8 @@
     shed: set[int] = field(default_factory=set)
     images: dict[str, float] = field(default_factory=dict)
     doubt: int = 0
+    unheard_do: int = 0  # direct commands in a row without an answer
+    rode: float = -1e9  # when starts last went out in a report's answer
     dead: bool = False
     draining: bool = False
     errors: set[tuple[int, int]] = field(default_factory=set)
@@ -309,6 +313,26 @@
                 out.append(api.Command(api.STOP, name, seen.attempt, 0.0))
         return out
 
+    def riding(self, machine: Machine) -> list[api.Command]:
+        """Starts for a worker that reports but can't be reached directly.
+
+        They may ride on the answer to its report: a worker executes answers in order and
+        drops late ones, and reaps go the same way, so none can follow its own reap.
+        """
+        if machine.unheard_do < 2 or not machine.launches:
+            return []
+        out = []
+        for key, launch in machine.launches.items():
+            want = self.want_of(machine.index, key)
+            if want is not None and not want.stop:
+                job, number = split_key(key)
+                name = api.task_name(self.world.jobs[job], number)
+                launch.sent += 1
+                out.append(api.Command(api.START, name, launch.attempt))
+        if out:
+            machine.rode = self.world.now()
+        return out
+
     # --- proof
 
     def fenced(self, machine: Machine) -> bool:
@@ -531,7 +555,8 @@
         for key, launch in list(machine.launches.items()):
             if key in listed:
                 continue
-            if not launch.sent or (not machine.busy and machine.doubt == 0):
+            riding = self.world.now() - machine.rode < RIDE_S
+            if not launch.sent or not (machine.busy or machine.doubt or riding):
                 del machine.launches[key]
                 machine.refused.add((key, launch.attempt))
                 self.changed = True
@@ -581,7 +606,8 @@
         if maybe and starts and orders.session == machine.session:
             machine.doubt = max(machine.doubt, orders.token)
             log.info("machine %s: a start got no answer, to be fenced", machine.name)
-        machine.retry_at = self.world.now() + 0.5
+        machine.unheard_do += 1
+        machine.retry_at = self.world.now() + min(0.5 * machine.unheard_do, 3.0)
 
     def refused_orders(self, machine: Machine, orders: api.Commands) -> None:
         """409: nothing was executed. Launches of an older session are over."""
--- a/starlingdeck/coordination/membership.py
+++ b/starlingdeck/coordination/membership.py
@@ -26,7 +26,7 @@
 
 TURN_S = 0.3  # how much later each next heir moves
 GRACE_S = 0.3  # how long others leave an absent shard to its own controller
-HAND_BACK_S = 4.0  # how long a returned controller must live before it gets its shard back
+HAND_BACK_S = 2.0  # how long a returned controller must live before it gets its shard back
 
 
 @dataclass(slots=True, frozen=True)
--- a/starlingdeck/coordination/node.py
+++ b/starlingdeck/coordination/node.py
@@ -47,6 +47,9 @@
 DETOUR_AFTER_S = 1.5
 DETOUR_EVERY_S = 2.0
 DELETED_KEPT_S = 60.0
+REPORT = "REPORT"
+COME_BACK_S = (0.6, 20.0)  # a worker back from its holder within this has not reached it
+PASS_ON_S = 1.5
 
 
 class Node:
@@ -74,6 +77,7 @@
         self.demands: dict[int, tuple[float, list[pb.Demand]]] = {}
         self.team_jobs: dict[int, list[TeamJob]] = {}
         self.quota = Quota(world)
+        self.redirected: dict[int, float] = {}
         self.needs: dict[tuple[int, int], Pair] = {}
         self.deleted: dict[str, float] = {}
         self.fleet: Fleet | None = None
@@ -184,14 +188,10 @@
             machines.token = token
 
     def may_hand_back(self, shard: int) -> bool:
+        """Its own controller lives, by the state service; that we can't reach it is no reason
+        to keep its shard: its machines may be cut off from us just as it is."""
         writer = self.writers.get(shard)
-        return (
-            self.membership.valid()
-            and writer is not None
-            and writer.shard.loaded
-            and self.peers.up(shard)
-            and not writer.shard.dirty
-        )
+        return self.membership.valid() and writer is not None and writer.shard.loaded
 
     async def cluster_key(self, event: api.Event) -> None:
         """Keys of the cluster that are neither nodes nor shards."""
@@ -246,7 +246,7 @@
         ready = bool(self.world.types) and (self.membership.may_renew_workers() or others)
         return Response(200) if ready else fault(503, "not ready")
 
-    async def on_report(self, body: bytes) -> Response:
+    async def on_report(self, body: bytes, passed_on: bool = False) -> Response:
         try:
             report = msgspec.json.decode(body, type=api.Report)
         except msgspec.DecodeError as why:
@@ -254,7 +254,9 @@
         shard = machine_shard(report.machine, report.zone, self.world.shard_zones)
         machines = self.machines.get(shard)
         if machines is None or report.token > machines.token:
-            return Response(421, msgspec.json.encode(api.Redirect(self.redirect(shard))))
+            if passed_on:
+                return Response(421, msgspec.json.encode(api.Redirect(None)))
+            return await self._redirect(report, shard, body)
         if not self.membership.may_renew_workers():
             return fault(503, "cut off from the state service")
         valid = self.membership.valid()
@@ -265,10 +267,12 @@
         if machines.changed:
             self.kicked = True
         commands = machines.commands_after(machine, valid) if newer else []
+        if newer and valid:
+            commands += machines.riding(machine)
         return Response(200, msgspec.json.encode(api.ReportReply(machines.token, commands)))
 
     def redirect(self, shard: int) -> str | None:
-        """The node to report to; none while the holder can't be reached.
+        """The node to report to; none while we can't reach the holder.
 
         A worker that is sent to a silent node waits 4 s for it and has 1 s more to wait
         for the next: twice that, and its lease is over.
@@ -278,6 +282,29 @@
             return None
         return self.world.node_name(holder.node)
 
+    async def _redirect(self, report: api.Report, shard: int, body: bytes) -> Response:
+        """Send a worker to its holder, or pass its report on when it came back from there.
+
+        A worker may be unable to reach a holder that we can reach; its lease would end
+        between the two of us. After a while it is sent there again, to see.
+        """
+        name = self.redirect(shard)
+        now = self.world.now()
+        machine = self.world.machines.put(report.machine)
+        sent = self.redirected.get(machine, -1e9)
+        if name is None or not COME_BACK_S[0] < now - sent < COME_BACK_S[1]:
+            if name is not None:
+                self.redirected[machine] = now
+            return Response(421, msgspec.json.encode(api.Redirect(name)))
+        holder = self.membership.holders[shard]
+        ask = pb.Envelope(forward=pb.Forward(method=REPORT, body=body))
+        try:
+            reply = (await self.peers.call(holder.node, ask, PASS_ON_S)).forwarded
+            return Response(reply.status, reply.body)
+        except PeerDown as why:
+            log.info("report of %s not passed on: %s", report.machine, why)
+            return Response(421, msgspec.json.encode(api.Redirect(None)))
+
     # --- the step loop: from what is to what is wanted
 
     async def step_loop(self) -> None:
@@ -398,6 +425,7 @@
             reply = await self.http.call(address, "POST", api.COMMANDS, body, wait)
             report = msgspec.json.decode(reply.body, type=api.Report)
             taken = machines.take_report(report, False)
+            taken.unheard_do = 0
             if reply.status == 409:
                 machines.refused_orders(taken, orders)
             elif reply.status != 200:
@@ -426,6 +454,11 @@
             await self.wake.set()
         elif kind == "reserve":
             return pb.Envelope(reserved=self.on_reserve(envelope.reserve))
+        elif kind == "forward" and envelope.forward.method == REPORT:
+            response = await self.on_report(envelope.forward.body, True)
+            await self.wake.set()
+            forwarded = pb.Forwarded(status=response.status, body=response.body)
+            return pb.Envelope(forwarded=forwarded)
         elif kind == "forward":
             done = await self.users.forwarded(envelope.forward)
             await self.wake.set()
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -1,15 +1,18 @@
 """A whole node, driven without network or clock."""
 
+import curio
 import msgspec
 
+from starlingdeck.coordination.jobs import JobShard
 from starlingdeck.coordination.machines import MachineShard
 from starlingdeck.coordination.membership import Holder
 from starlingdeck.coordination.node import Node
+from starlingdeck.coordination.writer import Writer
 from starlingdeck.protocol import api
+from starlingdeck.protocol import peer_pb2 as pb
 from starlingdeck.transport.frames import FrameLink
 from starlingdeck.transport.server import Request
 from tests.build import Clock, make_world
-from tests.model import at_once
 
 
 def report(machine: str, zone: str, session: int = 1, seq: int = 1, token: int = 0) -> bytes:
@@ -28,19 +31,58 @@
     body = Request("POST", api.REPORT, report("vm-1", "b"))
 
     node.peers.heard[1] = clock.at
-    known = at_once(node.serve(body))
+    known = curio.run(node.serve, body)
     assert (known.status, msgspec.json.decode(known.body)) == (421, {"answer_to": "n-1"})
 
     clock.at += node.world.tuning.reply_wait_s + 0.1
-    silent = at_once(node.serve(body))
+    silent = curio.run(node.serve, body)
     assert (silent.status, msgspec.json.decode(silent.body)) == (421, {})
 
 
+def test_a_worker_that_can_not_reach_its_holder_is_heard_through_us() -> None:
+    """A controller that lost only its workers kept its shard; peers sent the workers back
+    to it until their leases ended."""
+    clock = Clock()
+    node, holder = Node(make_world(clock)), Node(make_world(clock, node=1))
+    holder.membership.lease, holder.membership.renewed = 1, clock.at
+    holder.machines[1] = MachineShard(holder.world, 1, 5, 77, 0.0)
+    node.membership.holders[1] = Holder(1, 5, 77)
+    node.peers.links[1] = FrameLink(None)
+
+    async def call(node: int, envelope: pb.Envelope, timeout_s: float) -> pb.Envelope:
+        reply = await holder.on_message(envelope)
+        assert node == 1 and reply is not None
+        return reply
+
+    node.peers.call = call  # type: ignore[method-assign]
+    statuses = []
+    for step in range(9):
+        node.peers.heard[1] = holder.membership.renewed = clock.at
+        body = report("vm-1", "b", seq=step + 1)
+        statuses.append(curio.run(node.serve, Request("POST", api.REPORT, body)).status)
+        clock.at += 5.0
+    assert statuses == [421, 200, 200, 200, 421, 200, 200, 200, 421]
+    machine = holder.machines[1].machines[holder.world.machines.put("vm-1")]
+    assert clock.at - machine.answered <= 10.0
+
+
+def test_a_shard_goes_back_to_a_living_controller_that_we_can_not_reach() -> None:
+    """Zones were cut while both controllers of one zone restarted: the other zone's kept
+    their shards, whose workers it couldn't reach, and their leases ended."""
+    clock = Clock()
+    node = Node(make_world(clock))
+    node.membership.lease, node.membership.renewed = 1, clock.at
+    jobs = JobShard(node.world, 1, 5, 77)
+    jobs.loaded = True
+    node.writers[1] = Writer(node.world, node.state, jobs)
+    assert not node.peers.up(1) and node.may_hand_back(1)
+
+
 def test_paths_methods_and_bodies_get_their_statuses() -> None:
     node = Node(make_world(Clock()))
 
     def status(method: str, path: str, body: bytes = b"") -> int:
-        return int(at_once(node.serve(Request(method, path, body))).status)
+        return int(curio.run(node.serve, Request(method, path, body)).status)
 
     assert status("GET", "/nowhere") == 404
     assert status("GET", api.JOBS) == 405
@@ -59,12 +101,12 @@
     node.membership.lease, node.membership.renewed = 1, clock.at
     machines = MachineShard(node.world, 1, 3, 9, 0.0)
     node.machines[1] = machines
-    first = at_once(node.on_report(report("vm-1", "b")))
+    first = curio.run(node.on_report, report("vm-1", "b"))
     assert first.status == 200
     clock.at += node.world.outage_s - 0.1
-    kept = at_once(node.on_report(report("vm-1", "b", seq=2)))
+    kept = curio.run(node.on_report, report("vm-1", "b", seq=2))
     assert kept.status == 200 and not node.membership.valid()
     clock.at += 0.2
-    assert at_once(node.on_report(report("vm-1", "b", seq=3))).status == 503
+    assert curio.run(node.on_report, report("vm-1", "b", seq=3)).status == 503
     s = node.world.settings.settings.workers
     assert node.world.outage_s + s.lease_s < s.cancel_s - 3
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -25,6 +25,8 @@
     quiet = ["do_own", "do_report", "do_serve", "do_mail", "do_write", "do_place", "do_orders"]
     for _ in range(9000):
         model.clock.at += 0.1
+        for worker in model.workers.values():
+            worker.expire(model.clock.at)
         for node in model.nodes:
             model.renew(node)
         getattr(model, model.rng.choice([*quiet, "do_work", "do_mail", "do_mail"]))()
