--- a/starlingdeck/coordination/cloud.py
+++ b/starlingdeck/coordination/cloud.py
@@ -1,7 +1,7 @@
 """The cloud's client, and the loop that brings the rented fleet to the wanted one."""
 
 import logging
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from typing import Any, TypeVar
 
 import curio
@@ -228,12 +228,26 @@
         log.info("rented %d of %d %s in %s: %s", len(names), ask.count, kind, ask.zone, names)
 
 
-async def learn_types(world: World, cloud: CloudClient) -> None:
-    """Asks until the machine types are known, then now and then for the prices."""
+async def learn_types(
+    world: World,
+    cloud: CloudClient,
+    kept: Callable[[], Awaitable[list[api.MachineType]]],
+    keep: Callable[[list[api.MachineType]], Awaitable[None]],
+) -> None:
+    """Asks the cloud until the machine types are known, then now and then for the prices.
+
+    Until then those that a controller last kept serve: controllers that restarted while
+    the cloud was down could take no job, because they couldn't tell what can ever run.
+    """
     while True:
         try:
-            world.learn_types(await cloud.types())
-            await curio.sleep(60.0)
+            types = await cloud.types()
+            world.learn_types(types)
+            for _ in range(6):
+                await keep(types)
+                await curio.sleep(10.0)
         except CloudError as fault:
             log.info("machine types not read: %s", fault)
+            if not world.types:
+                world.learn_types(await kept())
             await curio.sleep(0.7 + 0.6 * world.rng.random())
--- a/starlingdeck/coordination/node.py
+++ b/starlingdeck/coordination/node.py
@@ -77,6 +77,7 @@
         self.demands: dict[int, tuple[float, list[pb.Demand]]] = {}
         self.team_jobs: dict[int, list[TeamJob]] = {}
         self.quota = Quota(world)
+        self.types_kept: list[api.MachineType] = []
         self.redirected: dict[int, float] = {}
         self.needs: dict[tuple[int, int], Pair] = {}
         self.deleted: dict[str, float] = {}
@@ -115,13 +116,40 @@
             self.step_loop,
             self.write_loop,
             self.fleet_loop,
+            self.types_loop,
         ]
         await self.peers.run(frames)
-        await curio.spawn(learn_types, self.world, self.cloud, daemon=True)
         async with curio.TaskGroup() as group:
             for loop in loops:
                 await group.spawn(self._for_ever, loop)
 
+    async def types_loop(self) -> None:
+        await learn_types(self.world, self.cloud, self.kept_types, self.keep_types)
+
+    async def kept_types(self) -> list[api.MachineType]:
+        """The machine types that a controller last read from the cloud."""
+        try:
+            entry = await self.state.get(records.TYPES, True)
+            if entry is not None:
+                return msgspec.json.decode(entry.value, type=list[api.MachineType])
+        except (StateError, msgspec.DecodeError) as why:
+            log.info("kept machine types not read: %s", why)
+        return []
+
+    async def keep_types(self, types: list[api.MachineType]) -> None:
+        """Keep them for controllers that start while the cloud can't be asked."""
+        plain = [msgspec.structs.replace(t, price=0.0, spot_price=0.0) for t in types]
+        if self.fleet is None or plain == self.types_kept:
+            return
+        if len(msgspec.json.encode(types)) > self.world.settings.settings.state.value_kb * 1000:
+            log.error("too many machine types to keep")
+            return
+        try:
+            await self.state.txn({}, [put_key(records.TYPES, types)])
+            self.types_kept = plain
+        except (StateError, Conflict) as why:
+            log.info("machine types not kept: %s", why)
+
     async def _for_ever(self, loop) -> None:  # type: ignore[no-untyped-def]
         """A loop that meets something unforeseen says so and goes on."""
         while True:
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -1,5 +1,7 @@
 """A whole node, driven without network or clock."""
 
+import random
+
 import curio
 import msgspec
 
@@ -13,6 +15,7 @@
 from starlingdeck.transport.frames import FrameLink
 from starlingdeck.transport.server import Request
 from tests.build import Clock, make_world
+from tests.model import PlainClient, PlainState
 
 
 def report(machine: str, zone: str, session: int = 1, seq: int = 1, token: int = 0) -> bytes:
@@ -78,6 +81,20 @@
     assert not node.peers.up(1) and node.may_hand_back(1)
 
 
+def test_a_controller_that_starts_while_the_cloud_is_down_knows_the_machine_types() -> None:
+    """All controllers restarted during a cloud outage, and none was healthy for 40 s."""
+    state = PlainState(random.Random(1))
+    first, second = Node(make_world(Clock())), Node(make_world(Clock(), node=1))
+    for node in (first, second):
+        node.state = PlainClient(state, 0.0)  # type: ignore[assignment]
+    types = list(first.world.types.values())
+    curio.run(first.keep_types, types)
+    assert curio.run(second.kept_types) == []  # only the holder of shard 0 keeps them
+    curio.run(first.gained, 0, 1, 7, 0.0)
+    curio.run(first.keep_types, types)
+    assert curio.run(second.kept_types) == types
+
+
 def test_paths_methods_and_bodies_get_their_statuses() -> None:
     node = Node(make_world(Clock()))
 
