--- a/starlingdeck/coordination/node.py
+++ b/starlingdeck/coordination/node.py
@@ -48,7 +48,8 @@
 DETOUR_EVERY_S = 2.0
 DELETED_KEPT_S = 60.0
 REPORT = "REPORT"
-COME_BACK_S = (0.6, 20.0)  # a worker back from its holder within this has not reached it
+COME_BACK_S = 8.0  # a worker back from its holder within this has not reached it
+STRAY_S = 15.0  # how long such a worker's reports are passed on before it is sent there again
 PASS_ON_S = 1.5
 
 
@@ -79,6 +80,7 @@
         self.quota = Quota(world)
         self.types_kept: list[api.MachineType] = []
         self.redirected: dict[int, float] = {}
+        self.strays: dict[int, float] = {}
         self.needs: dict[tuple[int, int], Pair] = {}
         self.deleted: dict[str, float] = {}
         self.fleet: Fleet | None = None
@@ -314,17 +316,24 @@
         """Send a worker to its holder, or pass its report on when it came back from there.
 
         A worker may be unable to reach a holder that we can reach; its lease would end
-        between the two of us. After a while it is sent there again, to see.
+        between the two of us. One that has seen the holder's present token was with it and
+        left, which workers do only when no answer comes: it has no time for another try.
+        After a while it is sent there again, to see.
         """
         name = self.redirect(shard)
         now = self.world.now()
         machine = self.world.machines.put(report.machine)
-        sent = self.redirected.get(machine, -1e9)
-        if name is None or not COME_BACK_S[0] < now - sent < COME_BACK_S[1]:
-            if name is not None:
-                self.redirected[machine] = now
-            return Response(421, msgspec.json.encode(api.Redirect(name)))
+        if name is None:
+            return Response(421, msgspec.json.encode(api.Redirect(None)))
         holder = self.membership.holders[shard]
+        left = report.token >= holder.token
+        back = now - self.redirected.get(machine, -1e9) < COME_BACK_S
+        since = self.strays.get(machine, now)
+        if now - since >= STRAY_S or not (left or back or machine in self.strays):
+            self.strays.pop(machine, None)
+            self.redirected[machine] = now
+            return Response(421, msgspec.json.encode(api.Redirect(name)))
+        self.strays[machine] = since
         ask = pb.Envelope(forward=pb.Forward(method=REPORT, body=body))
         try:
             reply = (await self.peers.call(holder.node, ask, PASS_ON_S)).forwarded
