Work with an aim on waiting asks once for room beside its cached image

Cause: a service's wait was its fetch (7 s against an aim of 1 s) though machines held the image, full of lower work.

--- a/starlingdeck/coordination/jobs.py
+++ b/starlingdeck/coordination/jobs.py
@@ -64,6 +64,7 @@
     avoid: dict[int, set[int]] = field(default_factory=dict)
     failed_on: set[int] = field(default_factory=set)
     errors: int = 0
+    pushed: set[int] = field(default_factory=set)  # tasks that asked for room beside their image
     hold_until: float = 0.0
     finished: int = 0
     stale: bool = False
--- a/starlingdeck/coordination/node.py
+++ b/starlingdeck/coordination/node.py
@@ -874,6 +874,8 @@
             if got is None or got.evicting or job.cancelled or job.final:
                 if not pick.preempt:
                     job.retry_at[pick.task] = now + 0.1
+                elif got is not None and got.evicting:
+                    job.retry_at[pick.task] = now + 0.3
                 continue
             target = Place(
                 pick.room.index, got.session, got.attempt, shard, pick.room.zone, since=now
--- a/starlingdeck/coordination/scheduler.py
+++ b/starlingdeck/coordination/scheduler.py
@@ -112,6 +112,24 @@
     return used
 
 
+def _beside_image(world: World, job: Job, chosen: Room, other: Room) -> bool:
+    """Whether `other` has the image and `chosen` would fetch it for longer than the aim allows.
+
+    Only for classes with an aim on waiting, and only for work that may preempt at all.
+    """
+    spec = job.spec
+    if spec.rank < 2 or spec.image in chosen.images or spec.image not in other.images:
+        return False
+    aims = [
+        o.within_s
+        for o in world.settings.settings.objectives
+        if o.kind == "wait" and o.cls == spec.cls and o.within_s
+    ]
+    rate = world.types[chosen.type].fetch_gb_per_s
+    fits = all(s <= t for s, t in zip(job.size, other.total, strict=True))
+    return bool(aims) and fits and rate > 0 and spec.image_gb / rate > min(aims)
+
+
 def plan(
     world: World,
     jobs: Sequence[Job],
@@ -158,6 +176,13 @@
                     missed = max(missed, len(job.pending(limit)))
                     break
                 continue
+            beside = [r for r in choices if _beside_image(world, job, room, r)]
+            if beside and task not in job.pushed:
+                # Once per task: room made on a machine that has the image beats the fetch.
+                job.pushed.add(task)
+                job.asking[task] = beside[0].zone
+                picks.append(Pick(job, task, world.rng.choice(beside), True))
+                continue
             room.free = [f - s for f, s in zip(room.free, job.size, strict=True)]
             room.present.add(key)
             job.asking[task] = room.zone
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -10,6 +10,7 @@
 from starlingdeck.coordination.jobs import new_job
 from starlingdeck.coordination.placement import Room
 from starlingdeck.coordination.scheduler import TeamJob
+from starlingdeck.protocol.settings import Objective
 from tests.build import Clock, make_world, spec
 
 amounts = st.integers(1, 8).map(float)
@@ -111,6 +112,24 @@
     assert len(zones) == 5 and max(zones.count(0), zones.count(1)) == 3
 
 
+def test_work_with_an_aim_on_waiting_asks_once_for_room_beside_its_image() -> None:
+    world = make_world(Clock())
+    world.settings.settings.objectives.append(Objective("wait", "batch", 1.0, 0.8))
+    job = new_job(world, spec(chores=1, rank="prod", image_gb=8.0), 0, 0)
+    total = (16.0, 0.0, 64.0)
+    kind = world.type_names.put("big")
+    full = Room(0, kind, 0, False, 0, total, [0.0, 0.0, 8.0], images={"img"})
+    empty = Room(1, kind, 0, False, 0, total, [16.0, 0.0, 64.0])
+    first, _ = scheduler.plan(world, [job], [full, empty], lambda j: 9, 9)
+    assert [(p.room.index, p.preempt) for p in first] == [(0, True)]
+    job.asking.clear()
+    again, _ = scheduler.plan(world, [job], [full, empty], lambda j: 9, 9)
+    assert [(p.room.index, p.preempt) for p in again] == [(1, False)]
+    calm = new_job(world, spec("j-2", chores=1, rank="normal", image_gb=8.0), 0, 0)
+    picks, _ = scheduler.plan(world, [calm], [full, empty], lambda j: 9, 9)
+    assert [(p.room.index, p.preempt) for p in picks] == [(1, False)]
+
+
 def test_one_zone_job_never_leaves_its_first_zone() -> None:
     world = make_world(Clock())
     job = new_job(world, spec(chores=4, same_place=True), 0, 0)
