--- a/starlingdeck/coordination/node.py
+++ b/starlingdeck/coordination/node.py
@@ -81,6 +81,7 @@
         self.types_kept: list[api.MachineType] = []
         self.redirected: dict[int, float] = {}
         self.strays: dict[int, float] = {}
+        self.faces: dict[int, float] = {}
         self.needs: dict[tuple[int, int], Pair] = {}
         self.deleted: dict[str, float] = {}
         self.fleet: Fleet | None = None
@@ -315,10 +316,10 @@
     async def _redirect(self, report: api.Report, shard: int, body: bytes) -> Response:
         """Send a worker to its holder, or pass its report on when it came back from there.
 
-        A worker may be unable to reach a holder that we can reach; its lease would end
-        between the two of us. One that has seen the holder's present token was with it and
-        left, which workers do only when no answer comes: it has no time for another try.
-        After a while it is sent there again, to see.
+        A worker may be unable to reach a holder that we can reach; each try there costs it
+        5 s of its lease, and it may have made one already. So its report is passed on
+        first, and only its next one is sent away. Back again soon, it is heard through us
+        for a while, and then sent there again, to see.
         """
         name = self.redirect(shard)
         now = self.world.now()
@@ -326,14 +327,19 @@
         if name is None:
             return Response(421, msgspec.json.encode(api.Redirect(None)))
         holder = self.membership.holders[shard]
-        left = report.token >= holder.token
         back = now - self.redirected.get(machine, -1e9) < COME_BACK_S
         since = self.strays.get(machine, now)
-        if now - since >= STRAY_S or not (left or back or machine in self.strays):
+        if machine in self.strays or back:
+            send = now - since >= STRAY_S
+            self.strays[machine] = since
+        else:
+            # A new face is heard once, so that it goes there with its whole lease.
+            send = now - self.faces.get(machine, -1e9) < STRAY_S
+            self.faces[machine] = now
+        if send:
             self.strays.pop(machine, None)
             self.redirected[machine] = now
             return Response(421, msgspec.json.encode(api.Redirect(name)))
-        self.strays[machine] = since
         ask = pb.Envelope(forward=pb.Forward(method=REPORT, body=body))
         try:
             reply = (await self.peers.call(holder.node, ask, PASS_ON_S)).forwarded
