--- a/starlingdeck/protocol/settings.py
+++ b/starlingdeck/protocol/settings.py
@@ -119,12 +119,38 @@
         self.lines = lines
 
 
+def faults_of(raw: object, kind: type[msgspec.Struct], where: str) -> list[str]:
+    """Every fault of a table, a line each; decoding alone would stop at the first."""
+    if not isinstance(raw, dict):
+        return [f"{where or 'file'}: expected a table"]
+    lines = []
+    fields = {f.encode_name: f for f in msgspec.structs.fields(kind)}
+    for name, field in fields.items():
+        at = f"{where}.{name}" if where else name
+        if name not in raw:
+            if field.required:
+                lines.append(f"{at}: missing")
+        elif isinstance(field.type, type) and issubclass(field.type, msgspec.Struct):
+            lines += faults_of(raw[name], field.type, at)
+        else:
+            try:
+                msgspec.convert(raw[name], field.type)
+            except msgspec.ValidationError as fault:
+                lines.append(f"{at}: {fault}")
+    if kind.__struct_config__.forbid_unknown_fields:
+        lines += [f"{where or 'file'}: unknown key {name!r}" for name in raw if name not in fields]
+    return lines
+
+
 def load_settings(path: Path) -> Settings:
     try:
-        settings = msgspec.json.decode(path.read_bytes(), type=Settings)
+        raw = msgspec.json.decode(path.read_bytes())
     except (OSError, msgspec.DecodeError) as fault:
         raise Fault([f"{path}: {fault}"]) from fault
-    lines = []
+    lines = [f"{path}: {line}" for line in faults_of(raw, Settings, "")]
+    if lines:
+        raise Fault(lines)
+    settings = msgspec.convert(raw, Settings)
     for what, address in [
         ("public_addr", settings.public_addr),
         ("cluster_listen", settings.cluster_listen),
@@ -147,9 +173,13 @@
     if path is None:
         return Tuning()
     try:
-        return msgspec.toml.decode(path.read_bytes(), type=Tuning)
+        raw = msgspec.toml.decode(path.read_bytes())
     except (OSError, msgspec.DecodeError) as fault:
         raise Fault([f"{path}: {fault}"]) from fault
+    lines = [f"{path}: {line}" for line in faults_of(raw, Tuning, "")]
+    if lines:
+        raise Fault(lines)
+    return msgspec.convert(raw, Tuning)
 
 
 def split_address(address: str) -> tuple[str, int]:
--- a/tests/test_doors.py
+++ b/tests/test_doors.py
@@ -84,9 +84,19 @@
         load_settings(path)
     assert len(caught.value.lines) == 2
     tuning = tmp_path / "t.toml"
-    tuning.write_text("moves_per_s = 3.0\nidel_s = 5.0\n")
-    with pytest.raises(Fault, match="idel_s"):
+    tuning.write_text("moves_per_s = -3.0\nidel_s = 5.0\nidle_s = 60\n")
+    with pytest.raises(Fault) as caught:
         load_tuning(tuning)
+    assert ["moves_per_s" in caught.value.lines[0], "idel_s" in caught.value.lines[1]] == [True] * 2
+    raw = settings_dict()
+    raw["settings"]["state"]["rps"] = "many"
+    del raw["external"]["state"], raw["zone"]
+    path.write_bytes(msgspec.json.encode(raw))
+    with pytest.raises(Fault) as caught:
+        load_settings(path)
+    named = ("zone: missing", "external.state: missing", "settings.state.rps: Expected")
+    assert all(any(n in line for line in caught.value.lines) for n in named)
+    assert len(caught.value.lines) == 3
 
 
 def test_a_record_comes_back_as_it_was_written() -> None:
