--- a/starlingdeck/coordination/jobs.py
+++ b/starlingdeck/coordination/jobs.py
@@ -65,6 +65,7 @@
     failed_on: set[int] = field(default_factory=set)
     errors: int = 0
     pushed: set[int] = field(default_factory=set)  # tasks that asked for room beside their image
+    promised: dict[int, tuple[int, float]] = field(default_factory=dict)  # task -> machine, until
     hold_until: float = 0.0
     finished: int = 0
     stale: bool = False
--- a/starlingdeck/coordination/machines.py
+++ b/starlingdeck/coordination/machines.py
@@ -18,6 +18,7 @@
 
 log = logging.getLogger(__name__)
 
+EVICT_HOLD_S = 2.5  # how long room being made by stops waits for its task
 RIDE_S = 5.0  # a worker waits 4 s for the answer to its report
 
 
@@ -418,6 +419,9 @@
                 machine.holds[key] = Hold(spot.attempt, until)
                 out.given.add(task=spot.task, attempt=spot.attempt, session=machine.session)
             elif msg.preempt and self._evict_for(machine, info, free):
+                # The room is kept for who asked: else the stopped task itself comes back
+                # into it first, and is stopped again.
+                machine.holds[key] = Hold(spot.attempt, self.world.now() + EVICT_HOLD_S)
                 out.given.add(task=spot.task, attempt=spot.attempt, evicting=True)
         self.changed = True
         return out
--- a/starlingdeck/coordination/node.py
+++ b/starlingdeck/coordination/node.py
@@ -881,8 +881,13 @@
                 if not pick.preempt:
                     job.retry_at[pick.task] = now + 0.1
                 elif got is not None and got.evicting:
-                    job.retry_at[pick.task] = now + 0.3
+                    old = job.promised.get(pick.task, (pick.room.index, now + 2.0))
+                    job.promised[pick.task] = old
+                    job.retry_at[pick.task] = now + 0.15
+                else:
+                    job.promised.pop(pick.task, None)
                 continue
+            job.promised.pop(pick.task, None)
             target = Place(
                 pick.room.index, got.session, got.attempt, shard, pick.room.zone, since=now
             )
--- a/starlingdeck/coordination/scheduler.py
+++ b/starlingdeck/coordination/scheduler.py
@@ -158,6 +158,14 @@
             if job.retry_at.get(task, 0.0) > now:
                 continue
             zone_ok = zones_open(job, lambda j=job: zone_use(j))  # type: ignore[misc]
+            machine, until = job.promised.pop(task, (-1, 0.0))
+            kept = next((r for r in fitting if r.index == machine and zone_ok(r.zone)), None)
+            if kept is not None and now < until:
+                # Lower work is being stopped there for this task: ask the same machine again.
+                job.promised[task] = (machine, until)
+                job.asking[task] = kept.zone
+                picks.append(Pick(job, task, kept, True))
+                continue
             avoid = job.avoid.get(task, set())
             key = job.index, task
             choices = [
