--- a/tests/test_doors.py
+++ b/tests/test_doors.py
@@ -125,7 +125,7 @@
     job = new_job(world, spec(chores=CHUNK), 0, 0)
     for t in range(CHUNK):
         index = world.machines.put(f"vm-{t:06d}")
-        job.places[t] = Place(index, 1000, 20, 0, world.zones.put("ljubljana-rack"))
+        job.places[t] = Place(index, 1000, 20, 0, world.zones.put("a-zone-with-long-name"))
     record = JobRecord(job.spec, 0, False, encode_chunk(world, job, 0, {}, {}))
     assert len(msgspec.json.encode(record)) < 16_000
 
