--- a/starlingdeck/coordination/machines.py
+++ b/starlingdeck/coordination/machines.py
@@ -418,7 +418,7 @@
             if all(s <= f + 1e-9 for s, f in zip(info.size, free, strict=True)):
                 machine.holds[key] = Hold(spot.attempt, until)
                 out.given.add(task=spot.task, attempt=spot.attempt, session=machine.session)
-            elif msg.preempt and self._evict_for(machine, info, free):
+            elif msg.preempt and self._evict_for(machine, info, free, msg.pressing):
                 # The room is kept for who asked: else the stopped task itself comes back
                 # into it first, and is stopped again.
                 machine.holds[key] = Hold(spot.attempt, self.world.now() + EVICT_HOLD_S)
@@ -426,7 +426,9 @@
         self.changed = True
         return out
 
-    def _evict_for(self, machine: Machine, info: JobInfo, free: list[float]) -> bool:
+    def _evict_for(
+        self, machine: Machine, info: JobInfo, free: list[float], pressing: bool
+    ) -> bool:
         """Stop lower work until the size fits. True when stops under way will make room."""
         left = list(free)
         chosen: list[int] = []
@@ -437,7 +439,7 @@
                 continue
             if key in machine.evict or seen.state == api.SAVING:
                 left = [a + b for a, b in zip(left, other.size, strict=True)]
-            elif may_preempt(info, other):
+            elif may_preempt(info, other, pressing):
                 victims.append((other.guaranteed, other.rank, -seen.since, key, other))
         victims.sort(key=lambda v: v[:4])
         for _, _, _, key, other in victims:
@@ -675,8 +677,14 @@
         return out
 
 
-def may_preempt(new: JobInfo, old: JobInfo) -> bool:
-    """PROTOCOL, "Preemption": higher rank, or a guarantee against another team's surplus."""
+def may_preempt(new: JobInfo, old: JobInfo, pressing: bool) -> bool:
+    """PROTOCOL, "Preemption": higher rank, or a guarantee against another team's surplus.
+
+    Work of higher rank gives way to a guarantee only when that presses: at first there may
+    be lower work to stop elsewhere, and a stopped service is missed at once.
+    """
     if new.rank > old.rank:
         return not (old.guaranteed and not new.guaranteed)
+    if old.rank > new.rank and not pressing:
+        return False
     return new.guaranteed and not old.guaranteed and new.team != old.team
--- a/starlingdeck/coordination/scheduler.py
+++ b/starlingdeck/coordination/scheduler.py
@@ -74,6 +74,17 @@
     return sorted(jobs, key=key)
 
 
+def pressing(world: World, job: Job) -> bool:
+    """Whether a guaranteed job has waited for half of what the aim on guarantees allows."""
+    aims = [
+        o.within_s
+        for o in world.settings.settings.objectives
+        if o.kind == "guarantee" and o.within_s
+    ]
+    waited_s = (world.wall_ms() - job.at_ms) / 1000
+    return job.guaranteed and waited_s > (min(aims) / 2 if aims else 5.0)
+
+
 def allowed(world: World, job: Job, room: Room) -> bool:
     """Type, zone and kind of machine; the rules that no aim may break."""
     spec = job.spec
--- a/tests/test_machines.py
+++ b/tests/test_machines.py
@@ -1,7 +1,7 @@
 """The machine owner's part: reservations and preemption."""
 
 from starlingdeck.coordination.jobs import job_message, new_job
-from starlingdeck.coordination.machines import MachineShard
+from starlingdeck.coordination.machines import JobInfo, MachineShard, may_preempt
 from starlingdeck.protocol import api
 from starlingdeck.protocol import peer_pb2 as pb
 from tests.build import Clock, make_world, spec
@@ -38,3 +38,19 @@
     report(4)
     machines.reconcile()
     assert len(ask(machines, "j-3", False, **low)) == 1
+
+
+def test_a_service_beyond_its_guarantee_gives_way_only_when_that_presses() -> None:
+    """A replica was stopped at once for another team's guaranteed array, while lower work
+    that could have given way ran elsewhere."""
+
+    def info(team: int, rank: int, guaranteed: bool) -> JobInfo:
+        size = (1.0, 0.0, 1.0)
+        return JobInfo(team, rank, size, "i", 1.0, 0.0, 0.0, False, False, guaranteed, 0.0)
+
+    array, service, low = info(0, 1, True), info(1, 3, False), info(1, 0, False)
+    assert may_preempt(array, low, False) and may_preempt(service, low, False)
+    assert not may_preempt(array, service, False)
+    assert may_preempt(array, service, True)
+    assert not may_preempt(info(1, 1, True), service, True)  # its own team
+    assert not may_preempt(info(1, 3, False), info(0, 2, True), True)
