--- a/starlingdeck/coordination/jobs.py
+++ b/starlingdeck/coordination/jobs.py
@@ -336,7 +336,9 @@
             return Draft(job, conditions, [put(key, value), drop(main)], ends, {}, final, False, [])
         if not ends and not starts:
             return None
-        chunks = sorted({t // CHUNK for t in (*ends, *starts)})[:8]
+        # A full chunk is close to a value's limit: more would not fit one transaction.
+        most = min(3, self.world.settings.settings.state.txn_ops)
+        chunks = sorted({t // CHUNK for t in (*ends, *starts)})[:most]
         ends = {t: w for t, w in ends.items() if t // CHUNK in chunks}
         starts = {t: p for t, p in starts.items() if t // CHUNK in chunks}
         changes = []
--- a/tests/test_doors.py
+++ b/tests/test_doors.py
@@ -6,7 +6,14 @@
 import pytest
 
 from starlingdeck.coordination import peers, users
-from starlingdeck.coordination.jobs import PLACED, Place, encode_chunk, load_job, new_job
+from starlingdeck.coordination.jobs import (
+    PLACED,
+    JobShard,
+    Place,
+    encode_chunk,
+    load_job,
+    new_job,
+)
 from starlingdeck.protocol import api
 from starlingdeck.protocol import peer_pb2 as pb
 from starlingdeck.protocol.settings import Fault, load_settings, load_tuning
@@ -130,6 +137,25 @@
     assert len(msgspec.json.encode(record)) < 16_000
 
 
+def test_a_large_job_is_written_in_transactions_that_fit() -> None:
+    """Eight full chunks at once were over the state service's 64 KiB and refused for ever."""
+    world = make_world(Clock())
+    shard = JobShard(world, 0, 3, 9)
+    job = new_job(world, spec(chores=CHUNK * 10), 0, 0)
+    job.versions[0] = 1
+    zone = world.zones.put("a-zone-with-long-name")
+    for t in range(job.spec.tasks):
+        index = world.machines.put(f"vm-{t:06d}")
+        job.starts[t] = Place(index, 1000, 20, 0, zone)
+    written = 0
+    while (draft := shard.draft(job)) is not None:
+        assert len(msgspec.json.encode(draft.changes)) < 60_000
+        assert len(draft.changes) <= world.settings.settings.state.txn_ops
+        written += 1
+        shard.commit(draft, written + 1)
+    assert written == 4 and not job.starts and len(job.places) == job.spec.tasks
+
+
 def test_the_detour_carries_messages_and_refuses_garbage() -> None:
     sent = [pb.Envelope(sender=1, view=pb.View(shard=2, gen=9)), pb.Envelope(nothing=pb.Nothing())]
     back = peers.unpack(peers.pack(sent))
