--- a/starlingdeck/coordination/fleet.py
+++ b/starlingdeck/coordination/fleet.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field
 
 from starlingdeck.coordination.placement import Room
-from starlingdeck.coordination.world import Size, World, total_of
+from starlingdeck.coordination.world import Size, World, fits, total_of
 from starlingdeck.protocol import api
 
 
@@ -157,9 +157,7 @@
 
 def _take(world: World, need: Demand, bins: list[tuple[int, str, bool, list[float]]]) -> bool:
     for kind, zone, spot, free in bins:
-        if _fits_kind(need, world.type_names[kind], zone, spot) and all(
-            s <= f + 1e-9 for s, f in zip(need.size, free, strict=True)
-        ):
+        if _fits_kind(need, world.type_names[kind], zone, spot) and fits(need.size, free):
             for d in range(3):
                 free[d] -= need.size[d]
             return True
@@ -173,7 +171,7 @@
     best, best_rank = None, math.inf
     for index, kind in world.types.items():
         total = total_of(kind)
-        if any(s > t + 1e-9 for s, t in zip(need.size, total, strict=True)):
+        if not fits(need.size, total):
             continue
         holds = min(int(t / s) for s, t in zip(need.size, total, strict=True) if s > 0)
         for zone in kind.zones:
--- a/starlingdeck/coordination/machines.py
+++ b/starlingdeck/coordination/machines.py
@@ -12,7 +12,7 @@
 from starlingdeck.coordination import shedding
 from starlingdeck.coordination.names import split_key, task_key
 from starlingdeck.coordination.shards import job_shard
-from starlingdeck.coordination.world import Size, World, total_of
+from starlingdeck.coordination.world import Size, World, fits, total_of
 from starlingdeck.protocol import api
 from starlingdeck.protocol import peer_pb2 as pb
 
@@ -415,7 +415,7 @@
             free = self.free(machine)
             if free is None:
                 continue
-            if all(s <= f + 1e-9 for s, f in zip(info.size, free, strict=True)):
+            if fits(info.size, free):
                 machine.holds[key] = Hold(spot.attempt, until)
                 out.given.add(task=spot.task, attempt=spot.attempt, session=machine.session)
             elif msg.preempt and self._evict_for(machine, info, free, msg.pressing):
@@ -443,11 +443,11 @@
                 victims.append((other.guaranteed, other.rank, -seen.since, key, other))
         victims.sort(key=lambda v: v[:4])
         for _, _, _, key, other in victims:
-            if all(s <= f + 1e-9 for s, f in zip(info.size, left, strict=True)):
+            if fits(info.size, left):
                 break
             chosen.append(key)
             left = [a + b for a, b in zip(left, other.size, strict=True)]
-        if not all(s <= f + 1e-9 for s, f in zip(info.size, left, strict=True)):
+        if not fits(info.size, left):
             return False
         for key in chosen:
             other = self.jobs[split_key(key)[0]]
@@ -500,7 +500,7 @@
             if info is None:
                 return set()
             use = [a + b for a, b in zip(use, info.size, strict=True)]
-        if all(u <= t + 1e-9 for u, t in zip(use, total, strict=True)):
+        if fits(use, total):
             return set()
         world, now = self.world, self.world.now()
         kind = world.types[machine.type]
@@ -577,8 +577,8 @@
         hold = machine.holds.pop(key, None)
         free = self.free(machine)
         info = self.jobs[split_key(key)[0]]
-        fits = free is not None and all(s <= f + 1e-9 for s, f in zip(info.size, free, strict=True))
-        if hold is None and not fits:
+        roomy = free is not None and fits(info.size, free)
+        if hold is None and not roomy:
             # A refusal stands while the want does: the job shard may free the task on it.
             machine.refused.add((key, want.attempt))
             self.changed = True
--- a/starlingdeck/coordination/node.py
+++ b/starlingdeck/coordination/node.py
@@ -189,9 +189,7 @@
             try:
                 # The former holder may have passed on quota that our watch hasn't shown yet.
                 for entry in (await self.state.read(records.QUOTA))[0]:
-                    team = int(entry.key[len(records.QUOTA) :])
-                    shares = msgspec.json.decode(entry.value, type=list[tuple[float, float]])
-                    self.quota.learn(team, shares, entry.version)
+                    self._learn_quota(entry.key, entry.value, entry.version)
                 await writer.load()
             except (StateError, msgspec.DecodeError) as why:
                 log.info("shard %d not read: %s", shard, why)
@@ -233,8 +231,7 @@
             if writer is not None and writer.shard.loaded:
                 await curio.spawn(self._inbox, writer, name, key, daemon=True)
         elif key.startswith(records.QUOTA):
-            shares = msgspec.json.decode(event.value, type=list[tuple[float, float]])
-            self.quota.learn(int(key[len(records.QUOTA) :]), shares, event.version)
+            self._learn_quota(key, event.value, event.version)
         elif key.startswith(records.RELAY):
             sender, _, to = key[len(records.RELAY) :].partition("-")
             if int(to) == self.world.node and int(sender) != self.world.node:
@@ -721,10 +718,7 @@
         except (StateError, Conflict) as why:
             log.info("team %d: quota not passed on: %r", team, why)
             # Until the key has been read again the gift counts as made.
-            entry = await self._read_again(key)
-            if entry is not None:
-                shares = msgspec.json.decode(entry.value, type=list[tuple[float, float]])
-                self.quota.learn(team, shares, entry.version)
+            await self._reread_quota(key)
             if isinstance(why, StateUnknown):
                 # It may still be executed: only a write after it, or its trace, ends that.
                 await self._settle_gift(key, team)
@@ -741,20 +735,26 @@
                 self.quota.learn(team, shares, stamp)
                 return
             except Conflict:
-                entry = await self._read_again(key)
-                if entry is not None:
-                    shares = msgspec.json.decode(entry.value, type=list[tuple[float, float]])
-                    self.quota.learn(team, shares, entry.version)
+                await self._reread_quota(key)
                 return
             except StateError:
                 await curio.sleep(0.5 + 0.5 * self.world.rng.random())
 
-    async def _read_again(self, key: str) -> api.Entry | None:
+    def _learn_quota(self, key: str, value: msgspec.Raw, version: int) -> None:
+        shares = msgspec.json.decode(value, type=list[Pair])
+        self.quota.learn(int(key[len(records.QUOTA) :]), shares, version)
+
+    async def _reread_quota(self, key: str) -> None:
+        """Read a team's shares, however long that takes."""
         while True:
             try:
-                return await self.state.get(key)
+                entry = await self.state.get(key)
             except StateError:
                 await curio.sleep(0.5 + 0.5 * self.world.rng.random())
+                continue
+            if entry is not None:
+                self._learn_quota(key, entry.value, entry.version)
+            return
 
     @staticmethod
     def _demand(waiting: list[tuple[Job, int]]) -> list[pb.Demand]:
--- a/starlingdeck/coordination/placement.py
+++ b/starlingdeck/coordination/placement.py
@@ -4,6 +4,8 @@
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 
+from starlingdeck.coordination.world import fits
+
 FULL = 0.9
 
 
@@ -35,7 +37,7 @@
         ]
 
     def fits(self, size: Sequence[float]) -> bool:
-        return all(s <= f + 1e-9 for s, f in zip(size, self.free, strict=True))
+        return fits(size, self.free)
 
 
 def start_score(shares: Sequence[float]) -> float:
--- a/starlingdeck/coordination/world.py
+++ b/starlingdeck/coordination/world.py
@@ -1,7 +1,7 @@
 """What every part of a controller knows: settings, names, machine types, clocks."""
 
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 
 from starlingdeck.coordination.names import Names
@@ -23,7 +23,6 @@
     machines: Names = field(default_factory=Names)
     zones: Names = field(default_factory=Names)
     type_names: Names = field(default_factory=Names)
-    images: Names = field(default_factory=Names)
     teams: Names = field(default_factory=Names)
     types: dict[int, MachineType] = field(default_factory=dict)
     node: int = 0
@@ -61,6 +60,11 @@
         return self.settings.settings.workers.lease_s * DRIFT + 0.3
 
 
+def fits(size: Sequence[float], room: Sequence[float]) -> bool:
+    """Whether a size goes into a room; sums of decimal amounts may be off by a hair."""
+    return all(s <= r + 1e-9 for s, r in zip(size, room, strict=True))
+
+
 def size_of(spec: JobSpec) -> Size:
     return (spec.cpus, spec.gpus, spec.memory_gb)
 
