Idle connections to old addresses make room for new ones

Cause, found on rereading: HttpClient.forget was never called, so each machine that went left an open connection in the pool; after some 200 of them no call could be made, not even to the state service. The pool now closes an idle one when it is full; forget is gone. The test fails without the change.

--- a/starlingdeck/transport/client.py
+++ b/starlingdeck/transport/client.py
@@ -47,7 +47,7 @@
                     slot = True
                     sock, conn = pool.pop()
                 else:
-                    if self.open >= self.max_open:
+                    if self.open >= self.max_open and not self._drop_idle():
                         raise NotSent("too many open connections")
                     self.open += 1
                     slot = True
@@ -71,11 +71,19 @@
         await sock.close()
         return reply
 
-    async def forget(self, address: str) -> None:
-        """Close the idle connections to an address that is gone."""
-        for sock, _ in self.idle.pop(address, []):
-            self.open -= 1
-            await sock.close()
+    def _drop_idle(self) -> bool:
+        """Make room by closing an idle connection, of the address longest known first.
+
+        Machines come and go: without this the connections to those long gone would fill
+        the limit, and even the state service could not be called any more.
+        """
+        for pool in self.idle.values():
+            if pool:
+                sock, _ = pool.pop(0)
+                sock._socket.close()
+                self.open -= 1
+                return True
+        return False
 
 
 async def connect(address: str) -> curio.io.Socket:
--- /dev/null
+++ b/tests/test_transport.py
@@ -0,0 +1,30 @@
+"""The pooled client against a server on loopback."""
+
+import curio
+from curio import socket
+
+from starlingdeck.transport.client import HttpClient
+from starlingdeck.transport.server import HttpServer, Request, Response
+
+
+async def talk(servers: int, max_open: int) -> tuple[list[int], int]:
+    async def answer(request: Request) -> Response:
+        return Response(200)
+
+    client, statuses = HttpClient(max_open=max_open), []
+    for _ in range(servers):
+        probe = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        probe.bind(("127.0.0.1", 0))
+        port = probe.getsockname()[1]
+        await probe.close()
+        server = await curio.spawn(HttpServer(("127.0.0.1", port), answer, 9, 5.0).run, daemon=True)
+        await curio.sleep(0)
+        reply = await client.call(f"127.0.0.1:{port}", "GET", "/", None, 5.0)
+        statuses.append(reply.status)
+        await server.cancel()
+    return statuses, client.open
+
+
+def test_idle_connections_to_old_addresses_make_room_for_new_ones() -> None:
+    """They were never closed: after enough machines had come and gone, nobody could be called."""
+    assert curio.run(talk, 5, 2) == ([200] * 5, 2)
