--- a/starlingdeck/coordination/cloud.py
+++ b/starlingdeck/coordination/cloud.py
@@ -140,7 +140,7 @@
         up = {world.machines[r.index] for r in rooms if not r.dead}
         names = [m.name for m in self.state.listed.values() if m.state == api.FAILED]
         names += fleet.stuck(world, self.state, up, self.started, now)
-        names += [world.machines[r.index] for r in rooms if r.dead and r.silent_s > 30]
+        names += [world.machines[r.index] for r in rooms if r.dead and r.silent_s + now - r.at > 30]
         names += [
             world.machines[r.index]
             for r in rooms
@@ -168,12 +168,17 @@
         total = sum(r.total[0] for r in rooms if r.drawable)
         keep = total * max(0.5, world.tuning.spare_share)
         out = []
-        for room in sorted(rooms, key=lambda r: -r.idle_s):
-            if room.drawable and not room.busy and room.idle_s > world.tuning.idle_s:
-                if free - room.total[0] < keep:
-                    break
-                free -= room.total[0]
-                out.append(world.machines[room.index])
+        now = world.now()
+        idle = [
+            r
+            for r in rooms
+            if r.drawable and not r.busy and r.idle_s + now - r.at > world.tuning.idle_s
+        ]
+        for room in sorted(idle, key=lambda r: r.at - r.idle_s):
+            if free - room.total[0] < keep:
+                break
+            free -= room.total[0]
+            out.append(world.machines[room.index])
         return out
 
     async def _rent(self) -> None:
--- /dev/null
+++ b/starlingdeck/coordination/exchange.py
@@ -0,0 +1,222 @@
+"""Views and lists between controllers: sent as differences, whole when one was missed.
+
+Direct links carry messages in order, so the first message on a link is whole and the rest
+are differences. A receiver that can't follow asks for the whole. Where peers can't reach
+each other but both reach the state service, whole messages go by keys (the detour).
+"""
+
+import logging
+from collections.abc import Awaitable, Callable, Mapping
+
+import msgspec
+
+from starlingdeck.coordination.jobs import JobShard
+from starlingdeck.coordination.machines import MachineShard
+from starlingdeck.coordination.membership import Membership
+from starlingdeck.coordination.peers import Peers, pack, unpack
+from starlingdeck.coordination.rooms import Rooms
+from starlingdeck.coordination.sights import Sight, follow
+from starlingdeck.coordination.world import World
+from starlingdeck.coordination.writer import Writer
+from starlingdeck.protocol import peer_pb2 as pb
+from starlingdeck.storage import records
+from starlingdeck.storage.state import Conflict, LeaseLost, StateClient, StateError
+from starlingdeck.storage.state import put as put_key
+from starlingdeck.transport.frames import FrameLink
+
+log = logging.getLogger(__name__)
+
+VIEW_EVERY_S = 0.05
+REPEAT_S = 1.0
+DETOUR_AFTER_S = 1.5
+DETOUR_EVERY_S = 2.0
+TXN_BYTES = 48_000  # of a transaction's 64 KiB, for the parts of a detour
+
+
+class Exchange:
+    def __init__(
+        self,
+        world: World,
+        state: StateClient,
+        membership: Membership,
+        peers: Peers,
+        writers: Mapping[int, Writer],
+        machines: Mapping[int, MachineShard],
+        rooms: Rooms,
+    ) -> None:
+        self.world = world
+        self.state = state
+        self.membership = membership
+        self.peers = peers
+        self.writers = writers
+        self.machines = machines
+        self.rooms = rooms
+        self.sights: dict[int, Sight] = {}
+        self.sent_view: dict[int, float] = {}
+        self.view_links: dict[tuple[int, int], FrameLink] = {}  # node, shard: followed on
+        self.want_links: dict[tuple[int, int], FrameLink] = {}  # job shard, machine shard
+        self.detours: dict[int, float] = {}
+        self.detour_number = 0
+        self.parts: dict[int, tuple[int, dict[int, str]]] = {}
+
+    # --- views
+
+    async def share(self, valid: bool, now: float) -> bool:
+        """Show what changed of our machine shards; True when an attempt was judged."""
+        judged = False
+        for shard, machines in list(self.machines.items()):
+            since = now - self.sent_view.get(shard, 0.0)
+            if not ((machines.changed and since >= VIEW_EVERY_S) or since >= REPEAT_S):
+                continue
+            self.sent_view[shard] = now
+            view = machines.view(valid)
+            envelope, whole = pb.Envelope(view=view), None
+            for node, link in list(self.peers.links.items()):
+                if self.view_links.get((node, shard)) is link:
+                    await self.peers.post(node, envelope)
+                    continue
+                if whole is None:
+                    whole = pb.Envelope(view=machines.whole_view(valid))
+                await self.peers.post(node, whole)
+                self.view_links[(node, shard)] = link
+            took = self.take_view(view)
+            if took is None:
+                took = self.take_view(machines.whole_view(valid))
+            judged |= took is True
+        return judged
+
+    def take_view(self, view: pb.View) -> bool | None:
+        """True when an attempt was judged by it; None when the whole has to be asked for."""
+        holder = self.membership.holders.get(view.shard)
+        if holder is not None and holder.gen != view.gen:
+            return False
+        touched = follow(self.world, self.sights, view)
+        if touched is None:
+            return None
+        sight = self.sights[view.shard]
+        if touched:
+            self.rooms.show(sight, touched)
+        now = self.world.now()
+        every = now - sight.judged_at >= REPEAT_S
+        if every:
+            sight.judged_at = now
+        judged = False
+        for writer in self.writers.values():
+            if writer.shard.loaded:
+                judged |= writer.shard.apply_view(sight, None if every else touched)
+        return judged
+
+    def again(self, node: int, shard: int) -> None:
+        """A peer could not follow our views: the next one is whole."""
+        self.view_links.pop((node, shard), None)
+        self.sent_view.pop(shard, None)
+
+    def judge_all(self, jobs: JobShard) -> None:
+        """A shard has just been read: what is seen already speaks of its attempts too."""
+        for sight in self.sights.values():
+            jobs.apply_view(sight, None)
+
+    def drop_old(self, now: float) -> None:
+        for shard in [s for s, v in self.sights.items() if self._old(v, now)]:
+            del self.sights[shard]
+            self.rooms.forget(shard)
+
+    def _old(self, sight: Sight, now: float) -> bool:
+        return now - sight.at > self.world.tuning.offline_drop_s
+
+    # --- wants
+
+    async def send_wants(self, now: float) -> None:
+        for writer in list(self.writers.values()):
+            jobs = writer.shard
+            if not jobs.loaded:
+                continue
+            for to, holder in list(self.membership.holders.items()):
+                out = jobs.outs[to]
+                unheard = out.acked < out.seq and now - out.sent_at >= REPEAT_S
+                if holder.node == self.world.node:
+                    machines = self.machines.get(to)
+                    if machines is not None and (out.news or unheard or out.gen != holder.gen):
+                        self.take_wants(jobs.wants(to, holder.gen, unheard))
+                    continue
+                link = self.peers.links.get(holder.node)
+                if link is None:
+                    continue
+                moved = self.want_links.get((jobs.shard, to)) is not link
+                if out.news or out.gen != holder.gen or unheard or moved:
+                    self.want_links[(jobs.shard, to)] = link
+                    wants = jobs.wants(to, holder.gen, unheard or moved)
+                    await self.peers.post(holder.node, pb.Envelope(wants=wants))
+
+    def take_wants(self, wants: pb.Wants) -> None:
+        machines = self.machines.get(wants.to_shard)
+        if machines is not None:
+            machines.apply_wants(wants)
+
+    # --- the detour
+
+    def detour(self, now: float, hello: Callable[[], pb.Hello]) -> list[tuple[int, str]]:
+        """Messages for peers that can't be reached directly, each packed as one text."""
+        found = []
+        valid = self.membership.valid()
+        for node in range(self.world.shards):
+            if node == self.world.node or self.peers.up(node):
+                continue
+            if node not in self.membership.living or self.peers.down_for(node) < DETOUR_AFTER_S:
+                continue
+            if now - self.detours.get(node, -1e9) < DETOUR_EVERY_S:
+                continue
+            self.detours[node] = now
+            batch = [pb.Envelope(sender=self.world.node, hello=hello())]
+            for shard, machines in self.machines.items():
+                batch.append(pb.Envelope(view=machines.whole_view(valid)))
+                self.view_links.pop((node, shard), None)
+            for writer in self.writers.values():
+                jobs = writer.shard
+                for to, holder in self.membership.holders.items():
+                    if holder.node == node and jobs.loaded:
+                        batch.append(pb.Envelope(wants=jobs.wants(to, holder.gen, True)))
+                        self.want_links.pop((jobs.shard, to), None)
+            found.append((node, pack(batch)))
+        return found
+
+    async def put_detour(self, node: int, text: str) -> None:
+        """Split over keys, as values and transactions allow; the newest number counts."""
+        limits = self.world.settings.settings.state
+        size = min(int(limits.value_kb * 1000) - 200, TXN_BYTES)
+        pieces = [text[i : i + size] for i in range(0, len(text), size)]
+        self.detour_number += 1
+        each = max(1, min(limits.txn_ops, TXN_BYTES // size))
+        try:
+            for first in range(0, len(pieces), each):
+                changes = [
+                    put_key(
+                        records.relay_key(self.world.node, node, first + i),
+                        records.RelayPart(self.detour_number, len(pieces), piece),
+                        self.membership.lease,
+                    )
+                    for i, piece in enumerate(pieces[first : first + each])
+                ]
+                await self.state.txn({}, changes)
+        except (StateError, Conflict, LeaseLost) as why:
+            log.info("no detour to %d: %r", node, why)
+
+    async def take_detour(
+        self, key: str, value: msgspec.Raw, on_message: Callable[[pb.Envelope], Awaitable[object]]
+    ) -> bool:
+        """One part; the last to arrive of a text delivers its messages."""
+        sender, to, number = records.parse_relay(key)
+        if to != self.world.node or sender == self.world.node:
+            return False
+        part = msgspec.json.decode(value, type=records.RelayPart)
+        text_number, pieces = self.parts.get(sender, (0, {}))
+        if text_number != part.text:
+            pieces = {}
+        pieces[number] = part.piece
+        self.parts[sender] = (part.text, pieces)
+        if not all(i in pieces for i in range(part.parts)):
+            return False
+        del self.parts[sender]
+        for envelope in unpack("".join(pieces[i] for i in range(part.parts))):
+            await on_message(envelope)
+        return True
--- /dev/null
+++ b/starlingdeck/coordination/gifts.py
@@ -0,0 +1,147 @@
+"""Which shards lack quota for what waits, and how others pass theirs on."""
+
+import logging
+from collections.abc import Mapping
+
+import curio
+import msgspec
+
+from starlingdeck.coordination.jobs import Job, JobShard
+from starlingdeck.coordination.membership import Membership
+from starlingdeck.coordination.quota import Pair, Quota
+from starlingdeck.coordination.world import World
+from starlingdeck.coordination.writer import Writer
+from starlingdeck.storage import records
+from starlingdeck.storage.state import Conflict, StateClient, StateError, StateUnknown
+from starlingdeck.storage.state import put as put_key
+
+log = logging.getLogger(__name__)
+
+
+class Gifts:
+    def __init__(
+        self,
+        world: World,
+        state: StateClient,
+        membership: Membership,
+        writers: Mapping[int, Writer],
+        wake: curio.Event,
+    ) -> None:
+        self.world = world
+        self.state = state
+        self.membership = membership
+        self.writers = writers
+        self.wake = wake
+        self.quota = Quota(world)
+        self.needs: dict[tuple[int, int], Pair] = {}
+
+    def limited(self, team: int) -> bool:
+        """Whether a team has any limit to keep."""
+        teams = self.world.settings.settings.teams
+        return team < len(teams) and (teams[team].cpus_max > 0 or teams[team].gpus_max > 0)
+
+    def used(self, shard: int, team: int) -> Pair:
+        """What a shard's attempts of a team may be using, counted until proven gone."""
+        cpus = gpus = 0.0
+        for job in self.writers[shard].shard.jobs.values():
+            if job.team == team:
+                cpus += job.used() * job.spec.cpus
+                gpus += job.used() * job.spec.gpus
+        return cpus, gpus
+
+    def spare(self, job: Job) -> int:
+        """For how many more tasks of a job its shard has quota."""
+        if not self.limited(job.team):
+            return 1_000_000
+        used = self.used(job.shard, job.team)
+        share = self.quota.share(job.team, job.shard)
+        spare = 1_000_000
+        for size, have, gone in zip((job.spec.cpus, job.spec.gpus), share, used, strict=True):
+            if size > 0:
+                spare = min(spare, int((have - gone) / size + 1e-9))
+        return max(0, spare)
+
+    async def note_needs(self, jobs: list[Job]) -> None:
+        """Which shards of ours lack quota for what waits; the others may pass some on."""
+        wants: dict[tuple[int, int], Pair] = {}
+        for job in jobs:
+            if not self.limited(job.team):
+                continue
+            old = wants.get((job.team, job.shard), (0.0, 0.0))
+            n = len(job.pending(1000))
+            wants[(job.team, job.shard)] = (
+                old[0] + n * job.spec.cpus,
+                old[1] + n * job.spec.gpus,
+            )
+        self.needs = {}
+        for (team, shard), want in wants.items():
+            used, share = self.used(shard, team), self.quota.share(team, shard)
+            short = tuple(w - (s - u) for w, s, u in zip(want, share, used, strict=True))
+            if max(short) > 1e-6:
+                need = (max(0.0, short[0]), max(0.0, short[1]))
+                self.needs[(team, shard)] = need
+                await self.give(team, shard, need)
+
+    async def give(self, team: int, taker: int, want: Pair) -> None:
+        """Pass on quota that shards of ours don't use, keeping what their own jobs wait for."""
+        if not self.membership.valid() or team >= len(self.world.settings.settings.teams):
+            return
+        for giver, writer in list(self.writers.items()):
+            if not writer.shard.loaded or (team, giver) in self.needs:
+                continue
+            used = self.used(giver, team)
+            after = self.quota.gift(team, giver, taker, want, used)
+            if after is not None:
+                await curio.spawn(self._write_gift, team, giver, writer.shard, after, daemon=True)
+                return
+
+    async def _write_gift(self, team: int, giver: int, shard: JobShard, after: list[Pair]) -> None:
+        key = records.quota_key(team)
+        conditions = {
+            key: self.quota.versions.get(team, 0),
+            records.shard_key(giver): shard.token,
+        }
+        try:
+            version = await self.state.txn(conditions, [put_key(key, after)])
+            self.quota.learn(team, after, version)
+            log.info("team %d: shard %d passed on quota: %s", team, giver, after)
+        except (StateError, Conflict) as why:
+            log.info("team %d: quota not passed on: %r", team, why)
+            # Until the key has been read again the gift counts as made.
+            await self._reread_quota(key)
+            if isinstance(why, StateUnknown):
+                # It may still be executed: only a write after it, or its trace, ends that.
+                await self._settle_gift(key, team)
+        self.quota.settle(team, giver)
+        await self.wake.set()
+
+    async def _settle_gift(self, key: str, team: int) -> None:
+        """Rewrite the key as it is, so that a gift still on its way finds its condition gone."""
+        while True:
+            try:
+                version = self.quota.versions.get(team, 0)
+                shares = self.quota.split(team)
+                stamp = await self.state.txn({key: version}, [put_key(key, shares)])
+                self.quota.learn(team, shares, stamp)
+                return
+            except Conflict:
+                await self._reread_quota(key)
+                return
+            except StateError:
+                await curio.sleep(0.5 + 0.5 * self.world.rng.random())
+
+    def learn(self, key: str, value: msgspec.Raw, version: int) -> None:
+        shares = msgspec.json.decode(value, type=list[Pair])
+        self.quota.learn(int(key[len(records.QUOTA) :]), shares, version)
+
+    async def _reread_quota(self, key: str) -> None:
+        """Read a team's shares, however long that takes."""
+        while True:
+            try:
+                entry = await self.state.get(key)
+            except StateError:
+                await curio.sleep(0.5 + 0.5 * self.world.rng.random())
+                continue
+            if entry is not None:
+                self.learn(key, entry.value, entry.version)
+            return
--- a/starlingdeck/coordination/jobs.py
+++ b/starlingdeck/coordination/jobs.py
@@ -8,8 +8,9 @@
 from array import array
 from dataclasses import dataclass, field
 
-from starlingdeck.coordination.names import task_key
+from starlingdeck.coordination.names import split_key, task_key
 from starlingdeck.coordination.shards import machine_shard
+from starlingdeck.coordination.sights import Sight
 from starlingdeck.coordination.world import Size, World, size_of
 from starlingdeck.protocol import api
 from starlingdeck.protocol import peer_pb2 as pb
@@ -82,7 +83,7 @@
             return []
         found: list[int] = []
         i, n = self.first_pending, self.spec.tasks
-        while i < n and self.state[i] == DONE:
+        while i < n and self.state[i] != PENDING:
             i += 1
         self.first_pending = i
         while i < n and len(found) < most:
@@ -96,6 +97,25 @@
         return len(self.places) + len(self.starts) + len(self.asking)
 
 
+@dataclass(slots=True)
+class Out:
+    """What a machine shard has been told, and what has changed since."""
+
+    gen: int = 0
+    seq: int = 0
+    acked: int = 0
+    sent_at: float = -1e9
+    whole: bool = True
+    changed: set[int] = field(default_factory=set)  # task keys
+    gone: set[tuple[int, int]] = field(default_factory=set)  # task key, machine
+    jobs: set[int] = field(default_factory=set)  # known there, to be shown anew
+    unacked: list[tuple[int, int]] = field(default_factory=list)  # list that first named it, key
+
+    @property
+    def news(self) -> bool:
+        return bool(self.whole or self.changed or self.gone or self.jobs)
+
+
 @dataclass(slots=True)
 class Draft:
     """One job's part of a transaction, and how to make it true once it is durable."""
@@ -184,67 +204,119 @@
         self.dirty: set[int] = set()
         self.finals: dict[str, str] = {}
         self.final_tasks: dict[str, int] = {}
-        self.seq = 0
-        self.wants_changed = True
         self.loaded = False
-        self.gens: dict[int, int] = {}
+        self.outs = [Out() for _ in range(world.shards)]
+        self.here: dict[int, set[int]] = {}  # machine -> keys of the tasks recorded there
+        self.shed: set[int] = set()  # keys of the tasks that their machine gives up
+
+    # --- the jobs, and where their tasks are
+
+    def adopt(self, job: Job) -> None:
+        """Take a job as read from its record, in place of what was known of it."""
+        self.forget(job.index)
+        self.jobs[job.index] = job
+        self.dirty.add(job.index)
+        for task, place in job.places.items():
+            self._settle(job, task, place)
+
+    def forget(self, index: int) -> None:
+        job = self.jobs.pop(index, None)
+        if job is not None:
+            for task in list(job.places):
+                self._leave(job, task)
+
+    def _settle(self, job: Job, task: int, place: Place) -> None:
+        key = task_key(job.index, task)
+        self.here.setdefault(place.machine, set()).add(key)
+        self.outs[place.shard].changed.add(key)
+
+    def _leave(self, job: Job, task: int) -> None:
+        place = job.places.pop(task)
+        key = task_key(job.index, task)
+        found = self.here.get(place.machine)
+        if found is not None:
+            found.discard(key)
+            if not found:
+                del self.here[place.machine]
+        self.shed.discard(key)
+        out = self.outs[place.shard]
+        out.changed.discard(key)
+        out.gone.add((key, place.machine))
+
+    def relist(self, job: Job, task: int) -> None:
+        """What is wanted of a recorded task has changed: it is to stop."""
+        self.outs[job.places[task].shard].changed.add(task_key(job.index, task))
+
+    def set_guaranteed(self, job: Job, guaranteed: bool) -> None:
+        if job.guaranteed != guaranteed:
+            job.guaranteed = guaranteed
+            for shard in {p.shard for p in job.places.values()}:
+                self.outs[shard].jobs.add(job.index)
 
     # --- what is seen
 
-    def apply_view(self, view: pb.View) -> bool:
-        """Judge every recorded attempt on this shard's machines; True if anything changed."""
-        world, now = self.world, self.world.now()
+    def apply_view(self, sight: Sight, touched: set[int] | None) -> bool:
+        """Judge the recorded attempts on the machines touched (None: on all), on those proven
+        gone, and those whose list has just been applied; True if anything changed."""
+        out = self.outs[sight.shard]
+        token, seq = sight.acks.get(self.shard, (0, 0))
         # Only the holder our list was made for may say that something is absent.
-        current = self.gens.get(view.shard) == view.gen
-        acked = max(
-            (a.seq for a in view.acks if a.shard == self.shard and a.token == self.base),
-            default=-1,
-        )
-        machines = {world.machines.put(m.id): m for m in view.machines}
-        dead = {world.machines.put(name) for name in view.dead}
-        seen = {
-            (task_key(number, t.task), t.attempt, index): t
-            for index, m in machines.items()
-            for t in m.tasks
-            if (number := world.jobs.get(t.job)) is not None and number in self.jobs
-        }
+        current = out.gen == sight.gen
+        if current and token == self.base:
+            out.acked = max(out.acked, seq)
+        machines = set(self.here) if touched is None else touched & self.here.keys()
+        machines |= sight.dead & self.here.keys()
+        keys = {key for machine in machines for key in self.here[machine]}
+        if current and out.unacked and out.unacked[0][0] <= out.acked:
+            keys.update(key for listed, key in out.unacked if listed <= out.acked)
+            out.unacked = [item for item in out.unacked if item[0] > out.acked]
         changed = False
-        for job in self.jobs.values():
-            for task, place in job.places.items():
-                if task in job.ends or place.shard != view.shard:
-                    continue
-                machine = machines.get(place.machine)
-                item = seen.get((task_key(job.index, task), place.attempt, place.machine))
-                proof = ""
-                why = api.W_NONE
-                if place.machine in dead and current and view.valid:
-                    proof = "its machine is gone"
-                elif machine is None:
-                    continue
-                elif machine.session > place.session:
-                    proof = "a newer session"
-                elif machine.dead and place.session == machine.session and current and view.valid:
-                    proof = "its machine's lease is over"
-                elif item is not None:
-                    place.shed = item.shed
-                    if item.state != place.seen:
-                        place.seen, place.since = item.state, now
-                        changed = True
-                    if item.state == api.EXITED:
-                        why = item.why
-                        proof = f"exit {api.WHY_NAMES.get(why, 'unnamed')}"
-                elif (
-                    current
-                    and machine.fenced
-                    and place.listed_gen == view.gen
-                    and 0 < place.listed <= acked
-                ):
-                    proof = "not started"
-                if proof:
-                    self._end(job, task, place, why, proof)
-                    changed = True
+        for key in keys:
+            index, task = split_key(key)
+            job = self.jobs.get(index)
+            place = job.places.get(task) if job is not None else None
+            if job is not None and place is not None and place.shard == sight.shard:
+                changed |= self._judge(sight, out, current, job, task, place)
         return changed
 
+    def _judge(
+        self, sight: Sight, out: Out, current: bool, job: Job, task: int, place: Place
+    ) -> bool:
+        if task in job.ends:
+            return False
+        now, changed = self.world.now(), False
+        machine = sight.machines.get(place.machine)
+        proof, why = "", api.W_NONE
+        if place.machine in sight.dead and current and sight.valid:
+            proof = "its machine is gone"
+        elif machine is None:
+            return False
+        elif machine.session > place.session:
+            proof = "a newer session"
+        elif machine.dead and place.session == machine.session and current and sight.valid:
+            proof = "its machine's lease is over"
+        elif (item := sight.task(place.machine, job.id, task, place.attempt)) is not None:
+            place.shed = item.shed
+            key = task_key(job.index, task)
+            (self.shed.add if item.shed else self.shed.discard)(key)
+            if item.state != place.seen:
+                place.seen, place.since = item.state, now
+                changed = True
+            if item.state == api.EXITED:
+                why = item.why
+                proof = f"exit {api.WHY_NAMES.get(why, 'unnamed')}"
+        elif (
+            current
+            and sight.valid
+            and machine.fenced
+            and place.listed_gen == sight.gen
+            and 0 < place.listed <= out.acked
+        ):
+            proof = "not started"
+        if proof:
+            self._end(job, task, place, why, proof)
+        return changed or bool(proof)
+
     def _end(self, job: Job, task: int, place: Place, why: int, proof: str) -> None:
         if job.spec.service and why == api.W_DONE:
             why = api.W_ERROR
@@ -278,38 +350,61 @@
 
     # --- what is wanted
 
-    def wants(self, to_shard: int, to_gen: int, seq: int) -> pb.Wants:
-        """Everything this shard wants of one machine shard."""
-        world = self.world
-        out = pb.Wants(
+    def wants(self, to_shard: int, to_gen: int, whole: bool = False) -> pb.Wants:
+        """What this shard wants of a machine shard: the difference to the last list, or all."""
+        world, out = self.world, self.outs[to_shard]
+        whole = whole or out.whole or out.gen != to_gen
+        if out.gen != to_gen:
+            out.gen, out.acked, out.unacked = to_gen, 0, []
+        out.seq += 1
+        msg = pb.Wants(
             from_shard=self.shard,
             from_token=self.base,
             to_shard=to_shard,
             to_gen=to_gen,
-            seq=seq,
+            seq=out.seq,
+            whole=whole,
         )
-        if self.gens.get(to_shard) != to_gen:
-            self.gens[to_shard] = to_gen
-        for job in self.jobs.values():
-            number = -1
-            for task, place in job.places.items():
-                if place.shard != to_shard:
-                    continue
-                if number < 0:
-                    number = len(out.jobs)
-                    out.jobs.append(job_message(job))
-                if place.listed_gen != to_gen:
-                    place.listed, place.listed_gen = seq, to_gen
-                out.items.add(
-                    job=number,
-                    task=task,
-                    attempt=place.attempt,
-                    machine=world.machines[place.machine],
-                    session=place.session,
-                    stop=job.cancelled or place.target is not None,
-                    grace_s=0.0 if job.cancelled else place.grace_s,
-                )
-        return out
+        numbers: dict[int, int] = {}
+        if whole:
+            keys = {
+                task_key(job.index, task)
+                for job in self.jobs.values()
+                for task, place in job.places.items()
+                if place.shard == to_shard
+            }
+        else:
+            keys = out.changed
+            for key, machine in out.gone:
+                index, task = split_key(key)
+                msg.gone.add(job=world.jobs[index], task=task, machine=world.machines[machine])
+            for index in out.jobs & self.jobs.keys():
+                numbers[index] = len(msg.jobs)
+                msg.jobs.append(job_message(self.jobs[index]))
+        for key in keys:
+            index, task = split_key(key)
+            job = self.jobs[index]
+            place = job.places[task]
+            number = numbers.get(index)
+            if number is None:
+                number = numbers[index] = len(msg.jobs)
+                msg.jobs.append(job_message(job))
+            if place.listed_gen != to_gen:
+                place.listed, place.listed_gen = out.seq, to_gen
+                out.unacked.append((out.seq, key))
+            msg.items.add(
+                job=number,
+                task=task,
+                attempt=place.attempt,
+                machine=world.machines[place.machine],
+                session=place.session,
+                stop=job.cancelled or place.target is not None,
+                grace_s=0.0 if job.cancelled else place.grace_s,
+            )
+        out.whole = False
+        out.changed, out.gone, out.jobs = set(), set(), set()
+        out.sent_at = world.now()
+        return msg
 
     # --- making it durable
 
@@ -364,14 +459,12 @@
         """The draft is durable: make it true here."""
         job = draft.job
         if draft.final:
+            self.forget(job.index)
             job.final = draft.final
             job.finished = job.spec.tasks if draft.final == api.DONE else job.finished
-            job.places.clear()
             self.finals[job.id] = draft.final
             self.final_tasks[job.id] = job.spec.tasks
-            self.jobs.pop(job.index, None)
             self.dirty.discard(job.index)
-            self.wants_changed = True
             log.info("job %s: %s", job.id, draft.final)
             return
         for number in draft.chunks:
@@ -379,11 +472,13 @@
         if draft.cancel:
             job.cancelled = True
             job.starts.clear()
-            self.wants_changed = True
             self.dirty.add(job.index)
+            for task in job.places:
+                self.relist(job, task)
             log.info("job %s: cancelled, %d tasks to stop", job.id, len(job.places))
         for task, why in draft.ends.items():
-            job.places.pop(task, None)
+            if task in job.places:
+                self._leave(job, task)
             if job.ends.get(task) == why:
                 del job.ends[task]
             if why == api.W_DONE:
@@ -392,14 +487,13 @@
             else:
                 job.state[task] = PENDING
                 job.first_pending = min(job.first_pending, task)
-            self.wants_changed = True
         for task, place in draft.starts.items():
             if job.starts.get(task) is place:
                 del job.starts[task]
             job.places[task] = place
             job.state[task] = PLACED
             job.tries[task] = place.attempt
-            self.wants_changed = True
+            self._settle(job, task, place)
             log.info(
                 "task %s attempt %d: placed on %s",
                 api.task_name(job.id, task),
--- a/starlingdeck/coordination/machines.py
+++ b/starlingdeck/coordination/machines.py
@@ -3,6 +3,10 @@
 The job shards say what they want here (`Wants`); reports say what is. `reconcile`
 works out the difference, and may be repeated at any time. What is seen goes back to
 the job shards as a `View`.
+
+Both go as differences, and work here is done for the machines that changed: `due` are
+those to be reconciled, `news` those to be shown. All are gone over once in a while, so
+that a change that was never marked is late, not lost.
 """
 
 import logging
@@ -20,6 +24,8 @@
 
 EVICT_HOLD_S = 2.5  # how long room being made by stops waits for its task
 RIDE_S = 5.0  # a worker waits 4 s for the answer to its report
+SWEEP_S = 1.0  # how often every machine is reconciled, changed or not
+LOOK_S = 0.2  # how often silence is looked for
 
 
 @dataclass(slots=True)
@@ -106,6 +112,7 @@
     busy: bool = False
     retry_at: float = 0.0
     empty_since: float = 0.0
+    drawn: bool = False  # whether it was drawable when last shown
 
 
 class MachineShard:
@@ -123,37 +130,73 @@
         self.jobs: dict[int, JobInfo] = {}
         self.wants: dict[int, dict[int, dict[int, Want]]] = {}
         self.acks: dict[int, tuple[int, int]] = {}
+        # Lists whose every item has been reconciled: only these may be called applied, or an
+        # item that was not looked at yet would pass for refused.
+        self.settled: dict[int, tuple[int, int]] = {}
+        self.due: set[int] = set()
+        self.kept: set[int] = set()
+        self.news: set[int] = set()
+        self.removed: set[int] = set()
+        self.noticed: set[int] = set()
+        self.blind: set[int] = set()  # shown while a task there was of a job not known yet
+        self.sweep_at = 0.0
+        self.look_at = 0.0
+        self.shard_of: dict[int, int] = {}
         self.gone: set[int] = set()
         self.job_errors: dict[int, set[int]] = {}
         self.seq = 0
         self.changed = True
 
+    def touch(self, index: int) -> None:
+        """A machine changed: it is to be reconciled, and shown."""
+        self.due.add(index)
+        self.news.add(index)
+        self.changed = True
+
     # --- what job shards want
 
     def apply_wants(self, msg: pb.Wants) -> bool:
-        """Take a job shard's list over the one before. False when it is not for us or old."""
+        """Take a job shard's list, or what changed of it. False when it is not for us, old,
+        or doesn't follow the last one: then the whole is to be asked for."""
         # A list made for an earlier holder may come late: it could name finished tasks.
-        if msg.to_gen != self.gen or (msg.from_token, msg.seq) < self.acks.get(
-            msg.from_shard, (0, 0)
-        ):
+        mark, last = (msg.from_token, msg.seq), self.acks.get(msg.from_shard)
+        if msg.to_gen != self.gen or (last is not None and mark < last):
             return False
-        if (msg.from_token, msg.seq) == self.acks.get(msg.from_shard):
+        if mark == last:
             return True
+        table = self.wants.get(msg.from_shard, {})
+        if msg.whole:
+            self.due.update(table)
+            table = self.wants[msg.from_shard] = {}
+        elif last is None or last != (msg.from_token, msg.seq - 1):
+            return False
+        world = self.world
         indices = [self._learn(job) for job in msg.jobs]
-        table: dict[int, dict[int, Want]] = {}
+        for gone in msg.gone:
+            index = world.machines.put(gone.machine)
+            here = table.get(index)
+            if here is not None:
+                here.pop(task_key(world.jobs.put(gone.job), gone.task), None)
+                if not here:
+                    del table[index]
+            self.due.add(index)
         for item in msg.items:
-            machine = self.world.machines.put(item.machine)
+            index = world.machines.put(item.machine)
             key = task_key(indices[item.job], item.task)
-            table.setdefault(machine, {})[key] = Want(
+            table.setdefault(index, {})[key] = Want(
                 item.attempt, item.session, item.stop, item.grace_s
             )
-        self.wants[msg.from_shard] = table
-        self.acks[msg.from_shard] = (msg.from_token, msg.seq)
+            self.due.add(index)
+        self.acks[msg.from_shard] = mark
         self.changed = True
         return True
 
     def _learn(self, job: pb.Job) -> int:
         index = self.world.jobs.put(job.id)
+        if index not in self.jobs and self.blind:
+            blind, self.blind = self.blind, set()
+            for machine in blind:
+                self.touch(machine)
         self.jobs[index] = JobInfo(
             job.team,
             job.rank,
@@ -169,12 +212,21 @@
         )
         return index
 
+    def home(self, key: int) -> int:
+        """The shard of a task's job."""
+        job = split_key(key)[0]
+        shard = self.shard_of.get(job)
+        if shard is None:
+            shard = self.shard_of[job] = job_shard(self.world.jobs[job], self.world.shards)
+        return shard
+
     def want_of(self, machine: int, key: int) -> Want | None:
-        shard = job_shard(self.world.jobs[split_key(key)[0]], self.world.shards)
-        return self.wants.get(shard, {}).get(machine, {}).get(key)
+        table = self.wants.get(self.home(key))
+        here = table.get(machine) if table else None
+        return here.get(key) if here else None
 
     def synced(self, key: int) -> bool:
-        return job_shard(self.world.jobs[split_key(key)[0]], self.world.shards) in self.acks
+        return self.home(key) in self.acks
 
     # --- reports
 
@@ -220,17 +272,19 @@
         machine.token = max(machine.token, report.token)
         if machine.doubt and machine.token > machine.doubt:
             machine.doubt = 0
-            self.changed = True
+            self.touch(index)
         if report.notice_s is not None and machine.notice_until is None:
             machine.notice_until = now + report.notice_s
             machine.draining = True
+            self.noticed.add(index)
             log.info("machine %s: taken in %.0f s", machine.name, report.notice_s)
         elif report.notice_s is None:
             machine.notice_until = None
         changed = self._take_tasks(machine, report, now)
         changed |= before != (machine.dead, machine.session, machine.notice_until is None)
         changed |= was_fenced != (machine.token >= self.base)
-        self.changed |= changed
+        if changed:
+            self.touch(index)
         return machine
 
     def _take_tasks(self, machine: Machine, report: api.Report, now: float) -> bool:
@@ -343,20 +397,26 @@
     def check_silence(self) -> None:
         """Mark machines whose every session until now must be over."""
         world, now = self.world, self.world.now()
+        if now < self.look_at:
+            return
+        self.look_at = now + LOOK_S
         for machine in self.machines.values():
             silent = now - machine.answered
             if not machine.dead and silent > world.silence_s:
                 machine.dead = True
                 machine.launches.clear()
-                self.changed = True
+                self.touch(machine.index)
                 log.info("machine %s: silent for %.1f s, its lease is over", machine.name, silent)
+            elif machine.drawn != self.drawable(machine):
+                self.touch(machine.index)
 
     def mark_deleted(self, name: str) -> None:
         """The cloud answered 200: the machine and everything on it are gone."""
         index = self.world.machines.put(name)
         if index not in self.gone:
             self.gone.add(index)
-            self.machines.pop(index, None)
+            if self.machines.pop(index, None) is not None:
+                self.removed.add(index)
             self.changed = True
 
     def unheard(self) -> Iterable[int]:
@@ -423,7 +483,7 @@
                 # into it first, and is stopped again.
                 machine.holds[key] = Hold(spot.attempt, self.world.now() + EVICT_HOLD_S)
                 out.given.add(task=spot.task, attempt=spot.attempt, evicting=True)
-        self.changed = True
+            self.touch(machine.index)
         return out
 
     def _evict_for(
@@ -468,7 +528,11 @@
         A spot notice breaks the constraint of all work that won't be over in time.
         """
         now = self.world.now()
-        for machine in self.machines.values():
+        for index in self.due | self.noticed:
+            machine = self.machines.get(index)
+            if machine is None:
+                self.noticed.discard(index)
+                continue
             chosen: set[int] = set()
             live = {k: s for k, s in machine.tasks.items() if s.state in (api.FETCHING, api.ON)}
             if machine.notice_until is not None and not machine.dead:
@@ -483,11 +547,12 @@
                     if info.checkpoint_s > 0 and left < info.save_s + 2.0 + 0.1 * left:
                         # Nobody took it in time: at least its progress is saved.
                         machine.evict.setdefault(key, info.save_s + 1.0)
+                        self.due.add(index)
             else:
                 chosen = self._overfull(machine, live)
             if chosen != machine.shed:
                 machine.shed = chosen
-                self.changed = True
+                self.touch(index)
 
     def _overfull(self, machine: Machine, live: dict[int, Seen]) -> set[int]:
         """By what the report shows, not by what was promised."""
@@ -523,39 +588,59 @@
         """Turn wants into launches or refusals; returns machines with something to send."""
         now = self.world.now()
         busy: list[Machine] = []
-        for machine in self.machines.values():
+        if now >= self.sweep_at:
+            self.sweep_at = now + SWEEP_S
+            self.due.update(self.machines)
+        due, self.due = self.due | self.kept, set()
+        self.kept = set()
+        for index in due:
+            machine = self.machines.get(index)
+            if machine is None:
+                continue
             for key in [k for k, h in machine.holds.items() if h.until < now]:
                 del machine.holds[key]
-                self.changed = True
+                self._show(machine)
             if machine.dead:
                 continue
-            stops = False
-            listed: set[int] = set()
-            for table in self.wants.values():
-                for key, want in table.get(machine.index, {}).items():
-                    seen = machine.tasks.get(key)
-                    if not want.stop:
-                        listed.add(key)
-                        self._consider(machine, key, want, seen, now)
-                    elif seen is not None:
-                        stops |= seen.state in (api.FETCHING, api.ON)
-                    elif key not in machine.launches:
-                        machine.refused.add((key, want.attempt))
-            machine.refused = {
-                (key, attempt)
-                for key, attempt in machine.refused
-                if (w := self.want_of(machine.index, key)) and w.attempt == attempt
-            }
-            self._forget_launches(machine, listed)
+            stops = self._compare(machine, now)
             stops |= any(
                 key in machine.evict and s.state in (api.FETCHING, api.ON)
                 for key, s in machine.tasks.items()
             )
-            starts = any(key in listed for key in machine.launches)
-            if (starts or stops) and not machine.busy and machine.retry_at <= now:
+            if stops or machine.launches or machine.holds:
+                self.kept.add(index)
+            if (stops or machine.launches) and not machine.busy and machine.retry_at <= now:
                 busy.append(machine)
+        self.settled = dict(self.acks)
         return busy
 
+    def _show(self, machine: Machine) -> None:
+        self.news.add(machine.index)
+        self.changed = True
+
+    def _compare(self, machine: Machine, now: float) -> bool:
+        """What is wanted of a machine against what is there. True when something is to stop."""
+        stops = False
+        listed: set[int] = set()
+        for table in self.wants.values():
+            for key, want in table.get(machine.index, {}).items():
+                seen = machine.tasks.get(key)
+                if not want.stop:
+                    listed.add(key)
+                    self._consider(machine, key, want, seen, now)
+                elif seen is not None:
+                    stops |= seen.state in (api.FETCHING, api.ON)
+                elif key not in machine.launches:
+                    machine.refused.add((key, want.attempt))
+        if machine.refused:
+            machine.refused = {
+                (key, attempt)
+                for key, attempt in machine.refused
+                if (w := self.want_of(machine.index, key)) and w.attempt == attempt
+            }
+        self._forget_launches(machine, listed)
+        return stops
+
     def _forget_launches(self, machine: Machine, listed: set[int]) -> None:
         """Drop starts that are not wanted any more, once they can't act any more."""
         for key, launch in list(machine.launches.items()):
@@ -565,7 +650,7 @@
             if not launch.sent or not (machine.busy or machine.doubt or riding):
                 del machine.launches[key]
                 machine.refused.add((key, launch.attempt))
-                self.changed = True
+                self._show(machine)
 
     def _consider(
         self, machine: Machine, key: int, want: Want, seen: Seen | None, now: float
@@ -581,10 +666,10 @@
         if hold is None and not roomy:
             # A refusal stands while the want does: the job shard may free the task on it.
             machine.refused.add((key, want.attempt))
-            self.changed = True
+            self._show(machine)
             return
         machine.launches[key] = Launch(want.attempt, now)
-        self.changed = True
+        self._show(machine)
 
     def orders(self, machine: Machine, starts: bool) -> api.Commands:
         """What to send by `/do` now. Marks launches as sent, before they are."""
@@ -611,6 +696,7 @@
         starts = any(c.op == api.START for c in orders.commands)
         if maybe and starts and orders.session == machine.session:
             machine.doubt = max(machine.doubt, orders.token)
+            self.touch(machine.index)
             log.info("machine %s: a start got no answer, to be fenced", machine.name)
         machine.unheard_do += 1
         machine.retry_at = self.world.now() + min(0.5 * machine.unheard_do, 3.0)
@@ -619,6 +705,7 @@
         """409: nothing was executed. Launches of an older session are over."""
         if orders.session != machine.session:
             machine.launches.clear()
+            self.touch(machine.index)
         machine.retry_at = self.world.now() + 0.3
 
     def needs_new_token(self) -> bool:
@@ -631,51 +718,82 @@
     # --- the view
 
     def view(self, valid: bool) -> pb.View:
-        world = self.world
+        """What has changed since the last view; a machine still due waits for the next."""
         self.seq += 1
-        self.changed = False
+        shown = self.news - self.due
+        self.news -= shown
+        removed, self.removed = self.removed, set()
+        self.changed = bool(self.news)
+        out = self._frame(valid)
+        out.removed.extend(self.world.machines[m] for m in removed)
+        self._entries(out, shown)
+        return out
+
+    def whole_view(self, valid: bool) -> pb.View:
+        """Everything, for who has not followed; numbered like the last difference."""
+        out = self._frame(valid)
+        out.whole = True
+        self._entries(out, self.machines)
+        # What is due is shown as not fenced for now, and once more when it is reconciled.
+        self.news |= self.due
+        self.changed |= bool(self.due)
+        return out
+
+    def _frame(self, valid: bool) -> pb.View:
         out = pb.View(shard=self.shard, gen=self.gen, seq=self.seq, valid=valid)
-        for shard, (token, seq) in self.acks.items():
+        for shard, (token, seq) in self.settled.items():
             out.acks.add(shard=shard, token=token, seq=seq)
-        out.dead.extend(world.machines[m] for m in self.unheard())
-        for m in self.machines.values():
-            free = self.free(m)
-            entry = out.machines.add(
-                id=m.name,
-                address=m.address,
-                type=world.type_names[m.type],
-                zone=world.zones[m.zone],
-                spot=m.spot,
-                session=m.session,
-                fenced=valid and self.fenced(m),
-                dead=m.dead,
-                drawable=valid and free is not None and self.drawable(m),
-                images=list(m.images),
-                draining=m.draining,
-                notice=m.notice_until is not None,
-                silent_s=world.now() - m.heard,
-                idle_s=world.now() - m.empty_since,
-            )
-            if free is not None:
-                entry.free_cpus, entry.free_gpus, entry.free_memory_gb = free
-            for key, seen in m.tasks.items():
-                job, number = split_key(key)
-                entry.tasks.add(
-                    job=world.jobs[job],
-                    task=number,
-                    attempt=seen.attempt,
-                    state=seen.state,
-                    why=seen.why,
-                    saved=seen.saved,
-                    shed=key in m.shed,
-                )
-            for key, launch in m.launches.items():
-                job, number = split_key(key)
-                entry.tasks.add(
-                    job=world.jobs[job], task=number, attempt=launch.attempt, state=api.PENDING
-                )
+        out.dead.extend(self.world.machines[m] for m in self.unheard())
         return out
 
+    def _entries(self, out: pb.View, shown: Iterable[int]) -> None:
+        for index in shown:
+            machine = self.machines.get(index)
+            if machine is not None:
+                self._entry(out, machine)
+
+    def _entry(self, out: pb.View, m: Machine) -> None:
+        world = self.world
+        free = self.free(m)
+        m.drawn = self.drawable(m)
+        entry = out.machines.add(
+            id=m.name,
+            address=m.address,
+            type=world.type_names[m.type],
+            zone=world.zones[m.zone],
+            spot=m.spot,
+            session=m.session,
+            # Of a machine that is due nothing may be called absent yet.
+            fenced=self.fenced(m) and m.index not in self.due,
+            dead=m.dead,
+            drawable=free is not None and m.drawn,
+            images=list(m.images),
+            draining=m.draining,
+            notice=m.notice_until is not None,
+            silent_s=world.now() - m.heard,
+            idle_s=world.now() - m.empty_since,
+        )
+        if free is None:
+            self.blind.add(m.index)
+        else:
+            entry.free_cpus, entry.free_gpus, entry.free_memory_gb = free
+        for key, seen in m.tasks.items():
+            job, number = split_key(key)
+            entry.tasks.add(
+                job=world.jobs[job],
+                task=number,
+                attempt=seen.attempt,
+                state=seen.state,
+                why=seen.why,
+                saved=seen.saved,
+                shed=key in m.shed,
+            )
+        for key, launch in m.launches.items():
+            job, number = split_key(key)
+            entry.tasks.add(
+                job=world.jobs[job], task=number, attempt=launch.attempt, state=api.PENDING
+            )
+
 
 def may_preempt(new: JobInfo, old: JobInfo, pressing: bool) -> bool:
     """PROTOCOL, "Preemption": higher rank, or a guarantee against another team's surplus.
--- a/starlingdeck/coordination/peers.py
+++ b/starlingdeck/coordination/peers.py
@@ -23,10 +23,17 @@
 
 
 class Peers:
-    def __init__(self, world: World, answer: Answer, hello: Callable[[], pb.Hello]) -> None:
+    def __init__(
+        self,
+        world: World,
+        answer: Answer,
+        hello: Callable[[], pb.Hello],
+        again: Callable[[int, int], None],
+    ) -> None:
         self.world = world
         self.answer = answer
         self.hello = hello
+        self.again = again
         self.links: dict[int, FrameLink] = {}
         self.heard: dict[int, float] = {}
         self.calls: dict[int, tuple[curio.Event, list[pb.Envelope]]] = {}
@@ -58,6 +65,7 @@
                 link = await dial(address, wait)
                 self.links[node] = link
                 reader = await curio.spawn(self._read_replies, node, link, daemon=True)
+                writer = await curio.spawn(link.drain, wait, daemon=True)
                 sent = self.world.now()
                 while not link.closed:
                     await self.send(node, pb.Envelope(hello=self.hello()))
@@ -65,6 +73,7 @@
                     if self.world.now() - max(sent, self.heard.get(node, 0.0)) > wait:
                         break
                 await reader.cancel()
+                await writer.cancel()
             except (OSError, curio.TaskTimeout, PeerDown) as fault:
                 log.debug("peer %d: %r", node, fault)
             finally:
@@ -79,6 +88,8 @@
             while True:
                 envelope = pb.Envelope.FromString(await link.receive())
                 self.heard[node] = self.world.now()
+                if envelope.WhichOneof("body") == "again":
+                    self.again(node, envelope.again.shard)
                 waiting = self.calls.pop(envelope.call, None)
                 if waiting is not None:
                     waiting[1].append(envelope)
@@ -102,12 +113,23 @@
 
     async def _reply(self, link: FrameLink, envelope: pb.Envelope) -> None:
         try:
-            reply = await self.answer(envelope) or pb.Envelope(nothing=pb.Nothing())
+            reply = await self.answer(envelope)
+            if reply is None:
+                if not envelope.call and envelope.WhichOneof("body") != "hello":
+                    return
+                reply = pb.Envelope(nothing=pb.Nothing())
             reply.sender, reply.call, reply.reply = self.world.node, envelope.call, True
             await link.send(reply.SerializeToString(), self.world.tuning.reply_wait_s)
         except (OSError, curio.TaskTimeout) as fault:
             log.debug("no reply to %d: %r", envelope.sender, fault)
 
+    async def post(self, node: int, envelope: pb.Envelope) -> None:
+        """One way, and without waiting for a peer that is slow or silent."""
+        link = self.links.get(node)
+        if link is not None and not link.closed:
+            envelope.sender = self.world.node
+            await link.post(envelope.SerializeToString())
+
     async def send(self, node: int, envelope: pb.Envelope) -> None:
         """One way; what is lost is sent again by the loop that wanted it."""
         link = self.links.get(node)
--- a/starlingdeck/coordination/placement.py
+++ b/starlingdeck/coordination/placement.py
@@ -1,7 +1,8 @@
 """Scores: where a new task goes (DESIGN 2) and where a moved one goes (DESIGN 4)."""
 
+import heapq
 import random
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 
 from starlingdeck.coordination.world import fits
@@ -11,7 +12,11 @@
 
 @dataclass(slots=True)
 class Room:
-    """A machine as the scorers see it. Amounts are cpus, gpus, memory."""
+    """A machine as the scorers see it. Amounts are cpus, gpus, memory.
+
+    `silent_s` and `idle_s` are as of `at`; `open` is what its owner says, and `drawable`
+    whether its owner can also be asked.
+    """
 
     index: int
     type: int
@@ -27,6 +32,8 @@
     busy: bool = False
     silent_s: float = 0.0
     idle_s: float = 0.0
+    at: float = 0.0
+    open: bool = True
     speed: float = 1.0
     images: set[str] = field(default_factory=set)
     present: set[tuple[int, int]] = field(default_factory=set)
@@ -53,36 +60,60 @@
     return 0.0 if high > FULL else max(0.0, sum(shares) / len(shares) - (high - low))
 
 
-def choose_start(
-    rooms: Sequence[Room],
-    size: Sequence[float],
-    image: str,
-    prefer_spot: bool,
-    most: int,
-    rng: random.Random,
-) -> Room | None:
-    """The best of up to `most` machines that fit.
+class Draw:
+    """Up to `most` machines that fit a task of one size, best first (DESIGN 2).
 
     Exception to DESIGN 2, recorded in docs/design.md: among machines that fit, one that
     has the image cached comes first, because the fetch is the longest part of a start.
+    A job's tasks are alike, so its machines are scored once, and a chosen one again.
     """
-    pool: Sequence[Room] = rooms
-    if len(rooms) > most:
-        pool = rng.sample(list(rooms), most)
-    best: Room | None = None
-    best_rank: tuple[float, ...] = ()
-    for room in pool:
-        if not room.fits(size):
-            continue
-        rank = (
-            float(image in room.images),
-            room.speed >= 0.7,
-            float(room.spot == prefer_spot),
-            start_score(room.shares_with(size)),
+
+    def __init__(
+        self,
+        rooms: Sequence[Room],
+        size: Sequence[float],
+        image: str,
+        prefer_spot: bool,
+        most: int,
+        rng: random.Random,
+    ) -> None:
+        self.size = size
+        self.image = image
+        self.prefer_spot = prefer_spot
+        pool = [r for r in rooms if r.fits(size)]
+        if len(pool) > most:
+            pool = rng.sample(pool, most)
+        self.pool = pool
+        self.heap = [(*self._rank(room), i) for i, room in enumerate(pool)]
+        heapq.heapify(self.heap)
+
+    def _rank(self, room: Room) -> tuple[bool, bool, bool, float]:
+        return (
+            self.image not in room.images,
+            room.speed < 0.7,
+            room.spot != self.prefer_spot,
+            -start_score(room.shares_with(self.size)),
         )
-        if best is None or rank > best_rank:
-            best, best_rank = room, rank
-    return best
+
+    def best(self, able: Callable[[Room], bool]) -> Room | None:
+        """The best that is able; its free room may be changed only until the next call."""
+        passed, found = [], None
+        while self.heap:
+            entry = heapq.heappop(self.heap)
+            room = self.pool[entry[-1]]
+            rank = (*self._rank(room), entry[-1]) if room.fits(self.size) else None
+            if rank is None:
+                continue
+            if rank != entry:
+                heapq.heappush(self.heap, rank)
+                continue
+            passed.append(entry)
+            if able(room):
+                found = room
+                break
+        for entry in passed:
+            heapq.heappush(self.heap, entry)
+        return found
 
 
 def choose_refit(
--- /dev/null
+++ b/starlingdeck/coordination/planner.py
@@ -0,0 +1,279 @@
+"""Plans for this node's waiting tasks: picks, room by preemption, moves, reservations."""
+
+import logging
+from collections.abc import Callable, Mapping
+
+import curio
+
+from starlingdeck.coordination import placement, scheduler
+from starlingdeck.coordination.fleet import Demand
+from starlingdeck.coordination.gifts import Gifts
+from starlingdeck.coordination.jobs import Job, Place, job_message
+from starlingdeck.coordination.membership import Membership
+from starlingdeck.coordination.names import split_key
+from starlingdeck.coordination.peers import PeerDown, Peers
+from starlingdeck.coordination.placement import Room
+from starlingdeck.coordination.rooms import Rooms
+from starlingdeck.coordination.scheduler import Pick, TeamJob
+from starlingdeck.coordination.world import World
+from starlingdeck.coordination.writer import Writer
+from starlingdeck.protocol import api
+from starlingdeck.protocol import peer_pb2 as pb
+from starlingdeck.storage.limiter import Limiter
+
+log = logging.getLogger(__name__)
+
+MOST_PICKS = 100
+PLAN_EVERY_S = 0.05
+IDLE_PLAN_S = 0.25
+
+Reserve = Callable[[pb.Reserve], pb.Reserved]
+
+
+class Planner:
+    def __init__(
+        self,
+        world: World,
+        membership: Membership,
+        peers: Peers,
+        writers: Mapping[int, Writer],
+        rooms: Rooms,
+        gifts: Gifts,
+        reserve_here: Reserve,
+        wake: curio.Event,
+        flush: curio.Event,
+    ) -> None:
+        self.world = world
+        self.membership = membership
+        self.peers = peers
+        self.writers = writers
+        self.rooms = rooms
+        self.gifts = gifts
+        self.reserve_here = reserve_here
+        self.wake = wake
+        self.flush = flush
+        self.demands: dict[int, tuple[float, list[pb.Demand]]] = {}
+        self.team_jobs: dict[int, list[TeamJob]] = {}
+        self.plan_at = 0.0
+        self.preempt_at: dict[int, float] = {}
+        self.moves = Limiter(world.tuning.moves_per_s / world.shards, 1.0, world.now)
+
+    def own_team_jobs(self) -> list[TeamJob]:
+        found = []
+        for writer in self.writers.values():
+            for job in writer.shard.jobs.values():
+                if not job.cancelled:
+                    n = job.unfinished
+                    found.append(
+                        TeamJob(job.team, job.at_ms, job.id, n * job.spec.cpus, n * job.spec.gpus)
+                    )
+        return sorted(found, key=lambda j: j.at_ms)[:500]
+
+    async def plan(self, now: float) -> None:
+        if not self.world.types or now < self.plan_at:
+            return
+        jobs = [
+            job
+            for writer in self.writers.values()
+            for job in writer.shard.jobs.values()
+            if not (job.cancelled or job.final or job.stale) and job.pending(1)
+        ]
+        if not jobs and not any(w.shard.shed for w in self.writers.values()):
+            self.demands[self.world.node] = (now, [])
+            self.gifts.needs = {}
+            return
+        self.plan_at = now + (PLAN_EVERY_S if self.rooms.news else IDLE_PLAN_S)
+        self.rooms.news = False
+        everyone = [j for found in self.team_jobs.values() for j in found] + self.own_team_jobs()
+        inside = scheduler.guaranteed_jobs(self.world, everyone)
+        for writer in self.writers.values():
+            for job in writer.shard.jobs.values():
+                writer.shard.set_guaranteed(job, job.id in inside)
+        await self.gifts.note_needs(jobs)
+        rooms = self.rooms.all()
+        picks, waiting = scheduler.plan(self.world, jobs, rooms, self.gifts.spare, MOST_PICKS)
+        self.demands[self.world.node] = (now, self._demand(waiting))
+        picks += self._preempting(waiting, rooms, now)
+        picks += self._moving(rooms, now)
+        groups: dict[tuple[int, int, bool], list[Pick]] = {}
+        for pick in picks:
+            groups.setdefault((pick.room.shard, pick.job.index, pick.preempt), []).append(pick)
+        for group in groups.values():
+            if not group[0].preempt:
+                for pick in group:
+                    self.rooms.take(pick.room, (pick.job.index, pick.task), pick.job.size)
+            await curio.spawn(self._reserve, group, daemon=True)
+
+    @staticmethod
+    def _demand(waiting: list[tuple[Job, int]]) -> list[pb.Demand]:
+        return [
+            pb.Demand(
+                cpus=job.spec.cpus,
+                gpus=job.spec.gpus,
+                memory_gb=job.spec.memory_gb,
+                count=count,
+                types=job.spec.types or [],
+                zone=job.spec.zone or "",
+                spot=job.spec.spot,
+                rank=job.spec.rank,
+                service=job.spec.service,
+            )
+            for job, count in waiting[:200]
+        ]
+
+    def _preempting(
+        self, waiting: list[tuple[Job, int]], rooms: list[Room], now: float
+    ) -> list[Pick]:
+        """For work that may preempt: a few machines to ask for room by stopping lower work."""
+        picks = []
+        for job, _ in waiting:
+            if not (job.spec.rank > 0 or job.guaranteed):
+                continue
+            if now < self.preempt_at.get(job.index, 0.0):
+                continue
+            self.preempt_at[job.index] = now + 0.5
+            zone_ok = scheduler.zones_open(job, scheduler.zone_use(job))
+            able = [
+                r
+                for r in rooms
+                if r.drawable
+                and scheduler.allowed(self.world, job, r)
+                and zone_ok(r.zone)
+                and all(s <= t for s, t in zip(job.size, r.total, strict=True))
+            ]
+            able.sort(key=lambda r: (job.spec.image not in r.images, self.world.rng.random()))
+            tasks = [t for t in job.pending(3) if job.retry_at.get(t, 0.0) <= now]
+            for room, task in zip(able, tasks, strict=False):
+                job.asking[task] = room.zone
+                picks.append(Pick(job, task, room, True))
+        return picks
+
+    def _moving(self, rooms: list[Room], now: float) -> list[Pick]:
+        """Refit (DESIGN 4): a target for every shed task, as far as the cap on moves goes."""
+        picks = []
+        tuning = self.world.tuning
+        for writer in self.writers.values():
+            for key in list(writer.shard.shed):
+                index, task = split_key(key)
+                job = writer.shard.jobs[index]
+                place = job.places[task]
+                if job.cancelled or job.stale or place.target or job.retry_at.get(task, 0.0) > now:
+                    continue
+                if task in job.ends or task in job.asking:
+                    continue
+                zone_ok = scheduler.zones_open(job, scheduler.zone_use(job, place))
+                able = [
+                    r
+                    for r in rooms
+                    if r.drawable
+                    and r.index != place.machine
+                    and zone_ok(r.zone)
+                    and scheduler.allowed(self.world, job, r)
+                    and r.fits(job.size)
+                ]
+                drawn = placement.choose_refit(
+                    able,
+                    job.size,
+                    tuning.refit_machines,
+                    tuning.refit_candidates,
+                    self.world.rng,
+                )
+                if not drawn or self.moves.delay(1.0, True) > 0:
+                    job.retry_at[task] = now + 0.3
+                    continue
+                cached = [r for r in drawn if job.spec.image in r.images]
+                room = (cached or drawn)[0]
+                job.asking[task] = room.zone
+                room.free = [f - s for f, s in zip(room.free, job.size, strict=True)]
+                picks.append(Pick(job, task, room))
+        return picks
+
+    async def _reserve(self, group: list[Pick]) -> None:
+        """Ask the machines' owner for room; what it gives goes into the job's record."""
+        job, shard = group[0].job, group[0].room.shard
+        holder = self.membership.holders.get(shard)
+        given: dict[int, pb.Given] = {}
+        hold_s = 0.0
+        if holder is not None:
+            ask = pb.Reserve(to_shard=shard, to_gen=holder.gen, job=job_message(job))
+            ask.preempt = group[0].preempt
+            ask.pressing = scheduler.pressing(self.world, job)
+            if any(pick.task in job.places for pick in group):
+                # A move's target waits until the source has saved and stopped.
+                ask.hold_s = hold_s = self.world.tuning.reserve_s + job.spec.save_s
+            rooms = {}
+            for pick in group:
+                rooms[pick.task] = pick.room
+                ask.spots.add(
+                    task=pick.task,
+                    attempt=job.tries[pick.task] + 1,
+                    machine=self.world.machines[pick.room.index],
+                )
+            try:
+                if holder.node == self.world.node:
+                    reply = self.reserve_here(ask)
+                else:
+                    envelope = pb.Envelope(reserve=ask)
+                    wait = self.world.tuning.reply_wait_s
+                    reply = (await self.peers.call(holder.node, envelope, wait)).reserved
+                given = {g.task: g for g in reply.given}
+            except PeerDown as why:
+                log.info("no room asked of %s: %s", self.world.node_name(holder.node), why)
+        now = self.world.now()
+        for pick in group:
+            job.asking.pop(pick.task, None)
+            got = given.get(pick.task)
+            if not pick.preempt:
+                self.rooms.answered(pick.room, (job.index, pick.task), got is not None)
+            if got is None or got.evicting or job.cancelled or job.final:
+                if not pick.preempt:
+                    job.retry_at[pick.task] = now + 0.1
+                elif got is not None and got.evicting:
+                    old = job.promised.get(pick.task, (pick.room.index, now + 2.0))
+                    job.promised[pick.task] = old
+                    job.retry_at[pick.task] = now + 0.15
+                else:
+                    job.promised.pop(pick.task, None)
+                continue
+            job.promised.pop(pick.task, None)
+            target = Place(
+                pick.room.index, got.session, got.attempt, shard, pick.room.zone, since=now
+            )
+            source = job.places.get(pick.task)
+            if source is None:
+                job.starts[pick.task] = target
+            elif pick.task not in job.ends and hold_s:
+                source.target, source.target_until = target, now + hold_s
+                source.grace_s = job.spec.save_s + 1.0 if job.spec.checkpoint_s > 0 else 0.0
+                moved = api.task_name(job.id, pick.task)
+                log.info(
+                    "task %s: moves from %s to %s",
+                    moved,
+                    self.world.machines[source.machine],
+                    self.world.machines[target.machine],
+                )
+                owner = self.writers.get(job.shard)
+                if owner is not None and owner.shard.jobs.get(job.index) is job:
+                    owner.shard.relist(job, pick.task)
+                await self.wake.set()
+        writer = self.writers.get(job.shard)
+        if job.starts and writer is not None and writer.shard.jobs.get(job.index) is job:
+            writer.shard.dirty.add(job.index)
+            await self.flush.set()
+
+    def all_demands(self) -> list[Demand]:
+        now = self.world.now()
+        return [
+            Demand(
+                (d.cpus, d.gpus, d.memory_gb),
+                d.count,
+                tuple(d.types),
+                d.zone,
+                d.spot,
+                d.rank,
+                d.service,
+            )
+            for at, found in self.demands.values()
+            if now - at < 5.0
+            for d in found
+        ]
--- a/starlingdeck/coordination/scheduler.py
+++ b/starlingdeck/coordination/scheduler.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 
 from starlingdeck.coordination.jobs import Job, Place
-from starlingdeck.coordination.placement import Room, choose_start
+from starlingdeck.coordination.placement import Draw, Room
 from starlingdeck.coordination.world import World
 
 FAR = 1e9
@@ -95,12 +95,11 @@
     return spec.spot or not room.spot
 
 
-def zones_open(job: Job, zone_count: Callable[[], dict[int, int]]) -> Callable[[int], bool]:
+def zones_open(job: Job, used: dict[int, int]) -> Callable[[int], bool]:
     """Which zones the next task may use, given where the job's other tasks are."""
     spec = job.spec
-    used = zone_count()
     if spec.one_zone and used:
-        return lambda zone: zone in used
+        return lambda zone: used.get(zone, 0) > 0
     if spec.spread:
         most = (spec.tasks + 1) // 2
         return lambda zone: used.get(zone, 0) < most
@@ -129,7 +128,7 @@
     Only for classes with an aim on waiting, and only for work that may preempt at all.
     """
     spec = job.spec
-    if spec.rank < 2 or spec.image in chosen.images or spec.image not in other.images:
+    if spec.image not in other.images:
         return False
     aims = [
         o.within_s
@@ -155,6 +154,8 @@
     now, now_ms = world.now(), world.wall_ms()
     picks: list[Pick] = []
     waiting: list[tuple[Job, int]] = []
+    allowing: dict[object, list[Room]] = {}
+    full: set[object] = set()
     for job in order(world, jobs, now_ms):
         if len(picks) >= most or job.hold_until > now:
             continue
@@ -163,49 +164,70 @@
             limit = min(limit, 1 - len(job.places))
         if limit <= 0:
             continue
-        fitting = [r for r in rooms if r.drawable and allowed(world, job, r)]
+        tasks = [t for t in job.pending(limit) if job.retry_at.get(t, 0.0) <= now]
+        if not tasks:
+            continue
+        kind = (tuple(job.spec.types or ()), job.spec.zone, job.spec.spot)
+        if kind not in allowing:
+            allowing[kind] = [r for r in rooms if r.drawable and allowed(world, job, r)]
+        fitting = allowing[kind]
         missed = 0
-        for task in job.pending(limit):
-            if job.retry_at.get(task, 0.0) > now:
-                continue
-            zone_ok = zones_open(job, lambda j=job: zone_use(j))  # type: ignore[misc]
+        if (kind, job.size) in full and not job.promised:
+            # Nothing had room for a task just like these; it only gets less.
+            missed = len(tasks)
+            for task in tasks:
+                job.avoid.pop(task, None)
+            waiting.append((job, missed))
+            continue
+        draw = Draw(
+            fitting, job.size, job.spec.image, False, world.tuning.score_machines, world.rng
+        )
+        if not draw.pool:
+            full.add((kind, job.size))
+        used = zone_use(job)
+        for n, task in enumerate(tasks):
+            zone_ok = zones_open(job, used)
             machine, until = job.promised.pop(task, (-1, 0.0))
-            kept = next((r for r in fitting if r.index == machine and zone_ok(r.zone)), None)
-            if kept is not None and now < until:
+            kept = None
+            if machine >= 0 and now < until:
+                kept = next((r for r in fitting if r.index == machine and zone_ok(r.zone)), None)
+            if kept is not None:
                 # Lower work is being stopped there for this task: ask the same machine again.
                 job.promised[task] = (machine, until)
                 job.asking[task] = kept.zone
+                used[kept.zone] = used.get(kept.zone, 0) + 1
                 picks.append(Pick(job, task, kept, True))
                 continue
-            avoid = job.avoid.get(task, set())
-            key = job.index, task
-            choices = [
-                r
-                for r in fitting
-                if zone_ok(r.zone) and r.index not in avoid and key not in r.present
-            ]
-            room = choose_start(
-                choices, job.size, job.spec.image, False, world.tuning.score_machines, world.rng
-            )
+            able = _able(job, task, zone_ok)
+            room = draw.best(able)
             if room is None:
                 # Where only machines are left that it failed on, those must do.
                 job.avoid.pop(task, None)
                 missed += 1
-                if missed > 3:
-                    missed = max(missed, len(job.pending(limit)))
+                if missed > 3 and not job.promised:
+                    missed += len(tasks) - n - 1
                     break
                 continue
-            beside = [r for r in choices if _beside_image(world, job, room, r)]
-            if beside and task not in job.pushed:
-                # Once per task: room made on a machine that has the image beats the fetch.
-                job.pushed.add(task)
-                job.asking[task] = beside[0].zone
-                picks.append(Pick(job, task, world.rng.choice(beside), True))
-                continue
+            if job.spec.rank >= 2 and task not in job.pushed and job.spec.image not in room.images:
+                beside = [r for r in fitting if able(r) and _beside_image(world, job, room, r)]
+                if beside:
+                    # Once per task: room made on a machine that has the image beats the fetch.
+                    job.pushed.add(task)
+                    chosen = world.rng.choice(beside)
+                    job.asking[task] = chosen.zone
+                    used[chosen.zone] = used.get(chosen.zone, 0) + 1
+                    picks.append(Pick(job, task, chosen, True))
+                    continue
             room.free = [f - s for f, s in zip(room.free, job.size, strict=True)]
-            room.present.add(key)
+            room.present.add((job.index, task))
             job.asking[task] = room.zone
+            used[room.zone] = used.get(room.zone, 0) + 1
             picks.append(Pick(job, task, room))
         if missed:
             waiting.append((job, missed))
     return picks, waiting
+
+
+def _able(job: Job, task: int, zone_ok: Callable[[int], bool]) -> Callable[[Room], bool]:
+    avoid, key = job.avoid.get(task, ()), (job.index, task)
+    return lambda room: zone_ok(room.zone) and room.index not in avoid and key not in room.present
--- a/starlingdeck/coordination/writer.py
+++ b/starlingdeck/coordination/writer.py
@@ -41,7 +41,6 @@
             name = entry.key.rsplit("/", 1)[1]
             self._adopt(entry, chunks.get(name, {}))
         self.shard.loaded = True
-        self.shard.wants_changed = True
         log.info("shard %d: %d unfinished jobs read", shard, len(mains))
 
     def _adopt(self, entry: api.Entry, parts: dict[int, tuple[int, Chunk]]) -> Job:
@@ -62,9 +61,7 @@
             job.failed_on, job.errors = old.failed_on, old.errors
             job.hold_until, job.avoid = old.hold_until, old.avoid
             job.guaranteed = old.guaranteed
-        self.shard.jobs[job.index] = job
-        self.shard.dirty.add(job.index)
-        self.shard.wants_changed = True
+        self.shard.adopt(job)
         return job
 
     async def reload(self, name: str) -> Job | None:
@@ -77,8 +74,7 @@
             final = await self.state.get(records.final_key(shard, name), True)
             # Not one that was created while we looked.
             if before is not None and self.shard.jobs.get(before.index) is before:
-                self.shard.jobs.pop(before.index)
-                self.shard.wants_changed = True
+                self.shard.forget(before.index)
             if final is not None:
                 value = msgspec.json.decode(final.value, type=FinalRecord)
                 self.shard.finals[name] = value.state
--- a/starlingdeck/storage/records.py
+++ b/starlingdeck/storage/records.py
@@ -3,7 +3,7 @@
 c/n/NODE        a living controller, on its lease
 c/s/SHARD       who holds a shard, on its holder's lease; the stamp is the token
 c/i/SHARD/JOB   a note to the holder that another node changed this job
-c/r/FROM-TO     messages between controllers that can't reach each other
+c/r/FROM-TO-N   messages between controllers that can't reach each other, part N
 j/SHARD/JOB     an unfinished job with its first tasks
 t/SHARD/JOB/C   further tasks of a large job
 f/SHARD/JOB     the final state of a job, for ever
@@ -37,6 +37,14 @@
     gen: int
 
 
+class RelayPart(msgspec.Struct):
+    """A piece of the text numbered `text`, which has `parts` pieces."""
+
+    text: int
+    parts: int
+    piece: str
+
+
 class Chunk(msgspec.Struct, omit_defaults=True):
     """Tasks CHUNK*c … of a job: attempts used, which are done, where the others are."""
 
@@ -81,8 +89,14 @@
     return f"{INBOX}{shard}/{job}"
 
 
-def relay_key(sender: int, to: int) -> str:
-    return f"{RELAY}{sender}-{to}"
+def relay_key(sender: int, to: int, part: int) -> str:
+    return f"{RELAY}{sender}-{to}-{part}"
+
+
+def parse_relay(key: str) -> tuple[int, int, int]:
+    """Sender, receiver and number of a part; ValueError for anything else."""
+    sender, to, part = key[len(RELAY) :].split("-")
+    return int(sender), int(to), int(part)
 
 
 def quota_key(team: int) -> str:
--- a/starlingdeck/transport/frames.py
+++ b/starlingdeck/transport/frames.py
@@ -10,6 +10,7 @@
 from starlingdeck.transport.server import listen
 
 MAX_FRAME = 4 * 1024 * 1024
+MAX_BACKLOG = 2 * 1024 * 1024
 LENGTH = struct.Struct("!I")
 
 
@@ -20,6 +21,28 @@
         self.sock = sock
         self.lock = curio.Lock()
         self.closed = False
+        self.backlog = bytearray()
+        self.waiting = curio.Event()
+
+    async def post(self, payload: bytes) -> None:
+        """Queue a frame for `drain`. A peer that takes nothing loses its link, not our memory."""
+        if len(self.backlog) + len(payload) > MAX_BACKLOG:
+            self.closed = True
+            return
+        self.backlog += LENGTH.pack(len(payload)) + payload
+        await self.waiting.set()
+
+    async def drain(self, timeout_s: float) -> None:
+        """Send what is queued, in order, until the link ends."""
+        try:
+            while not self.closed:
+                await self.waiting.wait()
+                self.waiting.clear()
+                batch, self.backlog = bytes(self.backlog), bytearray()
+                async with curio.timeout_after(timeout_s), self.lock:
+                    await self.sock.sendall(batch)
+        except (OSError, curio.TaskTimeout):
+            self.closed = True
 
     async def send(self, payload: bytes, timeout_s: float) -> None:
         async with curio.timeout_after(timeout_s), self.lock:
--- a/tests/model.py
+++ b/tests/model.py
@@ -14,6 +14,7 @@
 from starlingdeck.coordination.jobs import Job, JobShard, Place, job_message, new_job
 from starlingdeck.coordination.machines import MachineShard
 from starlingdeck.coordination.shards import job_shard, machine_shard
+from starlingdeck.coordination.sights import Sight, follow
 from starlingdeck.coordination.world import World
 from starlingdeck.coordination.writer import Writer
 from starlingdeck.protocol import api
@@ -202,7 +203,7 @@
     renewed: float = -1e9
     jobs: dict[int, Writer] = field(default_factory=dict)
     machines: dict[int, MachineShard] = field(default_factory=dict)
-    views: dict[int, pb.View] = field(default_factory=dict)
+    sights: dict[int, Sight] = field(default_factory=dict)
     gens: dict[int, int] = field(default_factory=dict)
 
     def valid(self) -> bool:
@@ -444,18 +445,20 @@
                 change = put(key, records.ShardValue(0, machines.gen))
                 if not self.state.apply({key: machines.token}, [change]):
                     machines.token = node.jobs[shard].shard.token = self.state.epoch
-            view = pb.Envelope(view=machines.view(valid))
-            self.mail += [(n, view) for n in range(2)]
+            # Differences get lost here, so whole ones must come often enough.
+            view = machines.view(valid)
+            whole = self.rng.random() < 0.4
+            message = pb.Envelope(view=machines.whole_view(valid) if whole else view)
+            self.mail += [(n, message) for n in range(2)]
         for writer in node.jobs.values():
             if not writer.shard.loaded:
                 continue
-            writer.shard.seq += 1
             for other in self.nodes:
                 for to, machines in other.machines.items():
                     # Learning who holds what may lag: sometimes an older hold is named.
                     gen = machines.gen if self.rng.random() < 0.9 else node.gens.get(to, 0)
                     node.gens[to] = gen
-                    wants = writer.shard.wants(to, gen, writer.shard.seq)
+                    wants = writer.shard.wants(to, gen, self.rng.random() < 0.4)
                     self.mail.append((other.number, pb.Envelope(wants=wants)))
 
     def do_mail(self) -> None:
@@ -470,14 +473,12 @@
                 if machines is not None:
                     machines.apply_wants(envelope.wants)
             else:
-                view = envelope.view
-                old = node.views.get(view.shard)
-                if old is not None and old.gen == view.gen and view.seq <= old.seq:
-                    continue
-                node.views[view.shard] = view
+                shard = envelope.view.shard
+                touched = follow(node.world, node.sights, envelope.view)
                 for writer in node.jobs.values():
-                    if writer.shard.loaded:
-                        writer.shard.apply_view(view)
+                    if writer.shard.loaded and touched is not None:
+                        every = None if self.rng.random() < 0.2 else touched
+                        writer.shard.apply_view(node.sights[shard], every)
         if len(self.mail) > 60:
             del self.mail[self.rng.randrange(len(self.mail))]
 
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -34,7 +34,7 @@
     body = Request("POST", api.REPORT, report("vm-1", "b"))
 
     node.peers.heard[1] = clock.at
-    node.faces[node.world.machines.put("vm-1")] = clock.at
+    node.reports.faces[node.world.machines.put("vm-1")] = clock.at
     known = curio.run(node.serve, body)
     assert (known.status, msgspec.json.decode(known.body)) == (421, {"answer_to": "n-1"})
 
@@ -119,12 +119,12 @@
     node.membership.lease, node.membership.renewed = 1, clock.at
     machines = MachineShard(node.world, 1, 3, 9, 0.0)
     node.machines[1] = machines
-    first = curio.run(node.on_report, report("vm-1", "b"))
+    first = curio.run(node.reports.take, report("vm-1", "b"))
     assert first.status == 200
     clock.at += node.world.outage_s - 0.1
-    kept = curio.run(node.on_report, report("vm-1", "b", seq=2))
+    kept = curio.run(node.reports.take, report("vm-1", "b", seq=2))
     assert kept.status == 200 and not node.membership.valid()
     clock.at += 0.2
-    assert curio.run(node.on_report, report("vm-1", "b", seq=3)).status == 503
+    assert curio.run(node.reports.take, report("vm-1", "b", seq=3)).status == 503
     s = node.world.settings.settings.workers
     assert node.world.outage_s + s.lease_s < s.cancel_s - 3
