--- a/starlingdeck/coordination/fleet.py
+++ b/starlingdeck/coordination/fleet.py
@@ -2,12 +2,17 @@
 
 import math
 from collections.abc import Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from starlingdeck.coordination.placement import Room
 from starlingdeck.coordination.world import Size, World, fits, total_of
 from starlingdeck.protocol import api
 
+MOST_ASKED = 50  # machines in one rental request, by the cloud's protocol
+MOST_WANTED = 200  # machines asked for in one go
+
+Bin = tuple[int, str, bool, list[float]]  # type, zone, spot, room
+
 
 @dataclass(slots=True)
 class Demand:
@@ -103,8 +108,12 @@
     draining: Sequence[Room],
     now: float,
 ) -> list[Ask]:
-    """Rentals for the demand that neither free room nor machines on the way can take."""
-    bins: list[tuple[int, str, bool, list[float]]] = []
+    """Rentals for the demand that neither free room nor machines on the way can take.
+
+    A wave of demand is asked for at once: eight at a time, machines came up 10 s later
+    than they could.
+    """
+    bins: list[Bin] = []
     for item in pending_boots:
         kind = world.types.get(item.type)
         if kind is not None:
@@ -112,23 +121,23 @@
     for ask in state.asks:
         kind = world.types.get(ask.type)
         if kind is not None:
-            bins += [(ask.type, ask.zone, ask.spot, list(total_of(kind)))] * ask.count
-    bins = [(t, z, s, list(free)) for t, z, s, free in bins]
+            for _ in range(ask.count):
+                bins.append((ask.type, ask.zone, ask.spot, list(total_of(kind))))
     needs = list(demands) + spare_demand(world, rooms, draining)
     new: dict[tuple[int, str, bool], int] = {}
     for need in sorted(needs, key=lambda d: (-d.rank, -d.size[0])):
-        for _ in range(min(need.count, 400)):
-            if _take(world, need, bins):
-                continue
-            choice = cheapest(world, state, need, now)
+        left = need.count - _take(world, need, need.count, bins)
+        while left > 0 and sum(new.values()) < MOST_WANTED:
+            choice = cheapest(world, state, replace(need, count=left), now)
             if choice is None:
                 break
-            kind = world.types[choice[0]]
-            bins.append((*choice, list(total_of(kind))))
-            _take(world, need, bins)
+            bins.append((*choice, list(total_of(world.types[choice[0]]))))
+            left -= _take(world, need, left, bins[-1:])
             new[choice] = new.get(choice, 0) + 1
+    # What was wanted first is asked first, and each kind in one call: calls are few.
     return [
-        Ask("", kind, zone, spot, min(count, 8), now) for (kind, zone, spot), count in new.items()
+        Ask("", kind, zone, spot, min(count, MOST_ASKED), now)
+        for (kind, zone, spot), count in new.items()
     ]
 
 
@@ -155,13 +164,25 @@
     return need.spot or not spot
 
 
-def _take(world: World, need: Demand, bins: list[tuple[int, str, bool, list[float]]]) -> bool:
+def _take(world: World, need: Demand, count: int, bins: Sequence[Bin]) -> int:
+    """How many of the need's tasks the bins hold; their room is taken."""
+    taken = 0
     for kind, zone, spot, free in bins:
-        if _fits_kind(need, world.type_names[kind], zone, spot) and fits(need.size, free):
+        if taken == count:
+            break
+        if not _fits_kind(need, world.type_names[kind], zone, spot):
+            continue
+        n = min(count - taken, holds(need.size, free))
+        if n > 0:
+            taken += n
             for d in range(3):
-                free[d] -= need.size[d]
-            return True
-    return False
+                free[d] -= n * need.size[d]
+    return taken
+
+
+def holds(size: Size, room: Sequence[float]) -> int:
+    """How many of a size go into a room."""
+    return min((int((r + 1e-9) / s) for s, r in zip(size, room, strict=True) if s > 0), default=0)
 
 
 def cheapest(
@@ -173,7 +194,7 @@
         total = total_of(kind)
         if not fits(need.size, total):
             continue
-        holds = min(int(t / s) for s, t in zip(need.size, total, strict=True) if s > 0)
+        most = holds(need.size, total)
         for zone in kind.zones:
             for spot in (False, True):
                 key = (index, zone, spot)
@@ -182,7 +203,7 @@
                 if state.no_capacity.get(key, 0.0) > now:
                     continue
                 price = kind.spot_price if spot else kind.price
-                rank = price / min(holds, max(1, need.count))
+                rank = price / min(most, max(1, need.count))
                 if rank < best_rank:
                     best, best_rank = key, rank
     return best
--- a/starlingdeck/coordination/node.py
+++ b/starlingdeck/coordination/node.py
@@ -56,7 +56,7 @@
             s.settings.state.rps, s.settings.state.write_rps, world.shards, world.now
         )
         self.state = StateClient(self.http, s.external.state, budget, world.now)
-        cloud_share = Limiter(s.settings.cloud.rps * 0.6, 1.0, world.now)
+        cloud_share = Limiter(s.settings.cloud.rps * 0.8, 1.5, world.now)
         self.cloud = CloudClient(self.http, s.external.cloud, cloud_share)
         hooks = Hooks(self.gained, self.lost, self.raised, self.cluster_key, self.may_hand_back)
         self.membership = Membership(world, self.state, hooks)
--- a/starlingdeck/coordination/scheduler.py
+++ b/starlingdeck/coordination/scheduler.py
@@ -8,6 +8,8 @@
 from starlingdeck.coordination.world import World
 
 FAR = 1e9
+HOPE = 0.8  # (start) of the owner's estimate, which is often too high
+SIZE_MS = 5.0  # (start) per processor-second of work: how much later a larger job counts as due
 
 
 @dataclass(slots=True, frozen=True)
@@ -51,25 +53,43 @@
     return inside
 
 
-def soft_deadline_ms(world: World, job: Job) -> float:
-    """When the job should be over: its deadline, else the tightest aim for its class."""
-    spec = job.spec
-    if spec.deadline_s is not None:
-        return job.at_ms + spec.deadline_s * 1000
-    aims = [
-        o.within_s
-        for o in world.settings.settings.objectives
-        if o.kind == "finished" and o.cls == spec.cls and o.within_s
-    ]
-    return job.at_ms + min(aims) * 1000 if aims else job.at_ms + FAR
+def due_times_ms(world: World, job: Job) -> list[float]:
+    """When the job should be over by the aims for its class and its deadline, soonest first."""
+    spec, times = job.spec, set()
+    for o in world.settings.settings.objectives:
+        if o.cls != spec.cls:
+            continue
+        if o.kind == "finished" and o.within_s:
+            times.add(job.at_ms + o.within_s * 1000)
+        elif o.kind == "deadline" and spec.deadline_s is not None:
+            times.add(job.at_ms + spec.deadline_s * (o.times or 1.0) * 1000)
+    if not times and spec.deadline_s is not None:
+        times.add(job.at_ms + spec.deadline_s * 1000)
+    return sorted(times)
+
+
+def urgency(world: World, job: Job, now_ms: int) -> tuple[bool, float]:
+    """Whether the job is late for every aim, and its slack for the next one, with its size.
+
+    A large job counts as having more time than it has: where not all can be in time, more
+    jobs are when the small ones go first. Work that can't be in time any more goes last:
+    in order of slack alone it went first, and made the next jobs late as well.
+    """
+    need_ms = job.spec.estimate_s * HOPE * 1000
+    size_ms = job.unfinished * job.spec.cpus * job.spec.estimate_s * SIZE_MS
+    due = due_times_ms(world, job)
+    for at in due:
+        if at - now_ms >= need_ms:
+            return False, at - now_ms - need_ms + size_ms
+    return bool(due), size_ms + (FAR if not due else 0.0)
 
 
 def order(world: World, jobs: Iterable[Job], now_ms: int) -> list[Job]:
-    """Guarantee first, then rank, then the least slack."""
+    """Guarantee first, then rank, then urgency."""
 
-    def key(job: Job) -> tuple[bool, int, float, str]:
-        slack = soft_deadline_ms(world, job) - now_ms - job.spec.estimate_s * 1000
-        return (not job.guaranteed, -job.spec.rank, slack, job.id)
+    def key(job: Job) -> tuple[bool, int, bool, float, str]:
+        late, slack = urgency(world, job, now_ms)
+        return (not job.guaranteed, -job.spec.rank, late, slack, job.id)
 
     return sorted(jobs, key=key)
 
--- /dev/null
+++ b/tests/test_exchange.py
@@ -0,0 +1,125 @@
+"""Views and lists as differences, and the detour."""
+
+import random
+
+import curio
+import msgspec
+
+from starlingdeck.coordination.jobs import JobShard, Place, new_job
+from starlingdeck.coordination.machines import MachineShard
+from starlingdeck.coordination.node import Node
+from starlingdeck.coordination.peers import pack
+from starlingdeck.coordination.sights import Sight, follow
+from starlingdeck.protocol import api
+from starlingdeck.protocol import peer_pb2 as pb
+from starlingdeck.storage import records
+from starlingdeck.transport import frames
+from tests.build import Clock, make_world, spec
+from tests.model import PlainClient, PlainState, at_once
+
+
+def report(name: str, seq: int = 1, token: int = 5) -> api.Report:
+    return api.Report(name, "127.0.0.1:1", "small", "b", 1, seq, token)
+
+
+def test_a_view_that_does_not_follow_is_asked_for_whole() -> None:
+    clock = Clock()
+    world = make_world(clock)
+    machines = MachineShard(world, 1, 5, 77, 0.0)
+    sights: dict[int, Sight] = {}
+    machines.take_report(report("vm-1"), True)
+    machines.reconcile()
+    assert follow(world, sights, machines.view(True)) == {world.machines.put("vm-1")}
+    machines.take_report(report("vm-2"), True)
+    machines.reconcile()
+    machines.view(True)  # lost
+    machines.mark_deleted("vm-1")
+    late = machines.view(True)
+    assert follow(world, sights, late) is None
+    assert follow(world, sights, machines.whole_view(True)) is not None
+    assert set(sights[1].machines) == {world.machines.put("vm-2")}
+    assert follow(world, sights, late) == set()  # older than what is known: says nothing
+
+
+def test_a_list_is_not_called_applied_before_it_was_reconciled() -> None:
+    """A view sent in between showed the list as taken and the task as absent, which
+    would have freed a task that was about to start."""
+    clock = Clock()
+    world = make_world(clock)
+    machines = MachineShard(world, 1, 5, 77, 0.0)
+    jobs = JobShard(world, 0, 3, 9)
+    job = new_job(world, spec("j-000001"), 0, 0)
+    machines.take_report(report("vm-1"), True)
+    machines.reconcile()
+    sights: dict[int, Sight] = {}
+    follow(world, sights, machines.view(True))
+    job.places[0] = Place(world.machines.put("vm-1"), 1, 1, 1, world.zones.put("b"))
+    jobs.adopt(job)
+    machines.apply_wants(jobs.wants(1, 77))
+    for view in (machines.view(True), machines.whole_view(True)):
+        touched = follow(world, sights, view)
+        jobs.apply_view(sights[1], touched)
+        assert not job.ends
+    machines.reconcile()
+    follow(world, sights, machines.view(True))
+    jobs.apply_view(sights[1], None)
+    assert not job.ends and sights[1].acks[0] == (3, 1)
+    assert sights[1].task(world.machines.put("vm-1"), "j-000001", 0, 1) is not None
+
+
+def test_lists_carry_only_what_changed_and_start_anew_for_a_new_hold() -> None:
+    world = make_world(Clock())
+    machines = MachineShard(world, 1, 5, 77, 0.0)
+    jobs = JobShard(world, 0, 3, 9)
+    job = new_job(world, spec("j-000001", chores=200), 0, 0)
+    for task in range(200):
+        job.places[task] = Place(world.machines.put(f"vm-{task % 9}"), 1, 1, 1, 0)
+    jobs.adopt(job)
+    first = jobs.wants(1, 77)
+    assert first.whole and len(first.items) == 200 and machines.apply_wants(first)
+    jobs._leave(job, 7)
+    second = jobs.wants(1, 77)
+    assert not second.whole and (len(second.items), len(second.gone)) == (0, 1)
+    lost = jobs.wants(1, 77)
+    third = jobs.wants(1, 77)
+    assert machines.apply_wants(second) and not machines.apply_wants(third)
+    assert sum(len(t) for t in machines.wants[0].values()) == 199 and lost.seq == 3
+    assert machines.apply_wants(jobs.wants(1, 77, True))
+    assert jobs.wants(1, 78).whole and not machines.apply_wants(jobs.wants(1, 78))
+
+
+def test_the_detour_works_at_full_size() -> None:
+    """It was dropped when it passed a value's limit: a cut zone lost it when it was needed."""
+    state = PlainState(random.Random(3))
+    ours, theirs = Node(make_world(Clock())), Node(make_world(Clock(), node=1))
+    noise = random.Random(5).randbytes(40_000)
+    text = pack([pb.Envelope(sender=0, forward=pb.Forward(method="x", body=noise))])
+    ours.exchange.state = PlainClient(state, 0.0)  # type: ignore[assignment]
+    curio.run(ours.exchange.put_detour, 1, text)
+    parts = {k: v for k, (v, _) in state.keys.items() if k.startswith(records.RELAY)}
+    limit = ours.world.settings.settings.state.value_kb * 1000
+    assert len(parts) > 1 and all(len(value) <= limit for value in parts.values())
+    got: list[pb.Envelope] = []
+
+    async def take(envelope: pb.Envelope) -> None:
+        got.append(envelope)
+
+    told = [
+        at_once(theirs.exchange.take_detour(key, msgspec.Raw(value), take))
+        for key, value in sorted(parts.items(), reverse=True)
+    ]
+    assert told == [False] * (len(parts) - 1) + [True]
+    assert [e.forward.body for e in got] == [noise]
+
+
+def test_a_peer_that_takes_nothing_loses_its_link() -> None:
+    """Sending waited for it, and with it everything else this controller does."""
+
+    async def fill() -> frames.FrameLink:
+        link = frames.FrameLink(None)
+        for _ in range(frames.MAX_BACKLOG // 100_000 + 1):
+            await link.post(bytes(100_000))
+        return link
+
+    link = curio.run(fill)
+    assert link.closed and len(link.backlog) <= frames.MAX_BACKLOG
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -86,3 +86,15 @@
     assert fleet.spare_demand(world, idle, []) == []
     need = fleet.spare_demand(world, full, [])
     assert need and need[0].count * 4.0 >= 40 * world.tuning.spare_share
+
+
+def test_a_wave_of_demand_is_asked_for_at_once() -> None:
+    """Eight machines a call and few calls a second: half of a large fleet came 10 s late."""
+    world = make_world(Clock())
+    state = FleetState()
+    need = [Demand((4.0, 0.0, 4.0), 60, ("small",), "a", False, 0, False)]
+    asks = fleet.wanted_asks(world, state, need, [], [], [], 0.0)
+    assert [a.count for a in asks] == [50]
+    coming = [listed(world, f"vm-{i}", api.BOOTING, 0.0) for i in range(50)]
+    asks = fleet.wanted_asks(world, state, need, [], coming, [], 0.0)
+    assert [a.count for a in asks] == [10]
--- /dev/null
+++ b/tests/test_order.py
@@ -0,0 +1,28 @@
+"""Which waiting work goes first."""
+
+from starlingdeck.coordination import scheduler
+from starlingdeck.coordination.jobs import Job, new_job
+from starlingdeck.coordination.world import World
+from tests.build import Clock, make_world, spec
+
+
+def job(world: World, name: str, age_s: float, **other: object) -> Job:
+    return new_job(world, spec(name, **other), 0, world.wall_ms() - int(age_s * 1000))
+
+
+def test_work_that_is_late_for_every_aim_lets_the_rest_be_in_time() -> None:
+    """In a backlog late work went first, in order of slack, and made the next work late too."""
+    world = make_world(Clock())
+    late = job(world, "j-000001", 95.0, guess_s=40.0)
+    tight = job(world, "j-000002", 40.0, guess_s=40.0)
+    fresh = job(world, "j-000003", 0.0, guess_s=40.0)
+    urgent = job(world, "j-000004", 99.0, guess_s=40.0, rank="urgent")
+    got = scheduler.order(world, [late, tight, fresh, urgent], world.wall_ms())
+    assert got == [urgent, tight, fresh, late]
+
+
+def test_of_work_alike_the_smaller_goes_first() -> None:
+    world = make_world(Clock())
+    large = job(world, "j-000001", 1.0, chores=70)
+    small = job(world, "j-000002", 0.0, chores=4)
+    assert scheduler.order(world, [large, small], world.wall_ms()) == [small, large]
