Machines are ranked by how soon they will have the image

Cause: of machines without the image any was as good, though one fetches at 0.25 and another at 0.8 GB/s. Fetches under way share a machine's rate and count.

--- a/starlingdeck/coordination/machines.py
+++ b/starlingdeck/coordination/machines.py
@@ -427,6 +427,12 @@
 
     # --- room
 
+    def _fetching(self, machine: Machine) -> set[str]:
+        waiting = {k for k, s in machine.tasks.items() if s.state == api.FETCHING}
+        waiting |= machine.launches.keys() | machine.holds.keys()
+        infos = [self.jobs.get(split_key(key)[0]) for key in waiting]
+        return {i.image for i in infos if i is not None and i.image not in machine.images}
+
     def total(self, machine: Machine) -> Size | None:
         kind = self.world.types.get(machine.type)
         return None if kind is None else total_of(kind)
@@ -773,6 +779,7 @@
             silent_s=world.now() - m.heard,
             idle_s=world.now() - m.empty_since,
         )
+        entry.fetching.extend(self._fetching(m))
         if free is None:
             self.blind.add(m.index)
         else:
--- a/starlingdeck/coordination/placement.py
+++ b/starlingdeck/coordination/placement.py
@@ -35,7 +35,9 @@
     at: float = 0.0
     open: bool = True
     speed: float = 1.0
+    pull: float = 1.0
     images: set[str] = field(default_factory=set)
+    fetching: set[str] = field(default_factory=set)
     present: set[tuple[int, int]] = field(default_factory=set)
 
     def shares_with(self, size: Sequence[float]) -> list[float]:
@@ -43,6 +45,14 @@
             (t - f + s) / t for t, f, s in zip(self.total, self.free, size, strict=True) if t > 0
         ]
 
+    def fetch_s(self, image: str, image_gb: float) -> float:
+        """How long a task would wait for its image. Fetches under way share the rate."""
+        if image in self.images or self.pull <= 0:
+            return 0.0
+        if image in self.fetching:
+            return image_gb / self.pull * len(self.fetching) / 2
+        return image_gb / self.pull * (1 + len(self.fetching))
+
     def fits(self, size: Sequence[float]) -> bool:
         return fits(size, self.free)
 
@@ -63,8 +73,8 @@
 class Draw:
     """Up to `most` machines that fit a task of one size, best first (DESIGN 2).
 
-    Exception to DESIGN 2, recorded in docs/design.md: among machines that fit, one that
-    has the image cached comes first, because the fetch is the longest part of a start.
+    Exception to DESIGN 2, recorded in docs/design.md: among machines that fit, the one that
+    has the image soonest comes first, because the fetch is the longest part of a start.
     A job's tasks are alike, so its machines are scored once, and a chosen one again.
     """
 
@@ -73,12 +83,14 @@
         rooms: Sequence[Room],
         size: Sequence[float],
         image: str,
+        image_gb: float,
         prefer_spot: bool,
         most: int,
         rng: random.Random,
     ) -> None:
         self.size = size
         self.image = image
+        self.image_gb = image_gb
         self.prefer_spot = prefer_spot
         pool = [r for r in rooms if r.fits(size)]
         if len(pool) > most:
@@ -86,10 +98,11 @@
         self.pool = pool
         self.heap = [(*self._rank(room), i) for i, room in enumerate(pool)]
         heapq.heapify(self.heap)
+        self.chosen: int | None = None
 
-    def _rank(self, room: Room) -> tuple[bool, bool, bool, float]:
+    def _rank(self, room: Room) -> tuple[float, bool, bool, float]:
         return (
-            self.image not in room.images,
+            round(room.fetch_s(self.image, self.image_gb)),
             room.speed < 0.7,
             room.spot != self.prefer_spot,
             -start_score(room.shares_with(self.size)),
@@ -98,6 +111,10 @@
     def best(self, able: Callable[[Room], bool]) -> Room | None:
         """The best that is able; its free room may be changed only until the next call."""
         passed, found = [], None
+        if self.chosen is not None:
+            # A fetch begun there makes it better for the next task, not worse.
+            heapq.heappush(self.heap, (*self._rank(self.pool[self.chosen]), self.chosen))
+            self.chosen = None
         while self.heap:
             entry = heapq.heappop(self.heap)
             room = self.pool[entry[-1]]
@@ -109,7 +126,7 @@
                 continue
             passed.append(entry)
             if able(room):
-                found = room
+                found, self.chosen = room, entry[-1]
                 break
         for entry in passed:
             heapq.heappush(self.heap, entry)
--- a/starlingdeck/coordination/rooms.py
+++ b/starlingdeck/coordination/rooms.py
@@ -76,7 +76,9 @@
             m.idle_s,
             at=world.now(),
             open=m.drawable,
+            pull=kind.fetch_gb_per_s,
             images=set(m.images),
+            fetching=set(m.fetching),
             present={(j, t.task) for t in m.tasks if (j := world.jobs.get(t.job)) is not None},
         )
 
--- a/starlingdeck/coordination/scheduler.py
+++ b/starlingdeck/coordination/scheduler.py
@@ -200,7 +200,13 @@
             waiting.append((job, missed))
             continue
         draw = Draw(
-            fitting, job.size, job.spec.image, False, world.tuning.score_machines, world.rng
+            fitting,
+            job.size,
+            job.spec.image,
+            job.spec.image_gb,
+            False,
+            world.tuning.score_machines,
+            world.rng,
         )
         if not draw.pool:
             full.add((kind, job.size))
@@ -240,6 +246,8 @@
                     continue
             room.free = [f - s for f, s in zip(room.free, job.size, strict=True)]
             room.present.add((job.index, task))
+            if job.spec.image not in room.images:
+                room.fetching.add(job.spec.image)
             job.asking[task] = room.zone
             used[room.zone] = used.get(room.zone, 0) + 1
             picks.append(Pick(job, task, room))
