Work that preempts asks a machine for several tasks at once; spread counts every task asked for

Cause: three tasks of a job asked for room every half second, each on a machine of its own: a job of 60 took 10 s to ask, and a stopped task of 4 processors made room for one of 1. Found on the way: zones were counted once for all tasks that asked, so a spread job could have got too many into one zone.

--- a/starlingdeck/coordination/fleet.py
+++ b/starlingdeck/coordination/fleet.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field, replace
 
 from starlingdeck.coordination.placement import Room
-from starlingdeck.coordination.world import Size, World, fits, total_of
+from starlingdeck.coordination.world import Size, World, fits, holds, total_of
 from starlingdeck.protocol import api
 
 MOST_ASKED = 50  # machines in one rental request, by the cloud's protocol
@@ -180,11 +180,6 @@
     return taken
 
 
-def holds(size: Size, room: Sequence[float]) -> int:
-    """How many of a size go into a room."""
-    return min((int((r + 1e-9) / s) for s, r in zip(size, room, strict=True) if s > 0), default=0)
-
-
 def cheapest(
     world: World, state: FleetState, need: Demand, now: float
 ) -> tuple[int, str, bool] | None:
--- a/starlingdeck/coordination/planner.py
+++ b/starlingdeck/coordination/planner.py
@@ -26,6 +26,7 @@
 MOST_PICKS = 100
 PLAN_EVERY_S = 0.05
 IDLE_PLAN_S = 0.25
+MOST_PRESSED = 32  # tasks of a job that ask for room by preemption at once
 
 Reserve = Callable[[pb.Reserve], pb.Reserved]
 
@@ -124,7 +125,7 @@
     def _preempting(
         self, waiting: list[tuple[Job, int]], rooms: list[Room], now: float
     ) -> list[Pick]:
-        """For work that may preempt: a few machines to ask for room by stopping lower work."""
+        """For work that may preempt: machines to ask for room by stopping lower work."""
         picks = []
         for job, _ in waiting:
             if not (job.spec.rank > 0 or job.guaranteed):
@@ -132,20 +133,17 @@
             if now < self.preempt_at.get(job.index, 0.0):
                 continue
             self.preempt_at[job.index] = now + 0.5
-            zone_ok = scheduler.zones_open(job, scheduler.zone_use(job))
             able = [
                 r
                 for r in rooms
                 if r.drawable
                 and scheduler.allowed(self.world, job, r)
-                and zone_ok(r.zone)
                 and all(s <= t for s, t in zip(job.size, r.total, strict=True))
             ]
-            able.sort(key=lambda r: (job.spec.image not in r.images, self.world.rng.random()))
-            tasks = [t for t in job.pending(3) if job.retry_at.get(t, 0.0) <= now]
-            for room, task in zip(able, tasks, strict=False):
-                job.asking[task] = room.zone
-                picks.append(Pick(job, task, room, True))
+            fetch = {r.index: round(r.fetch_s(job.spec.image, job.spec.image_gb)) for r in able}
+            able.sort(key=lambda r: (fetch[r.index], self.world.rng.random()))
+            tasks = [t for t in job.pending(MOST_PRESSED) if job.retry_at.get(t, 0.0) <= now]
+            picks += scheduler.spread_out(job, tasks, able)
         return picks
 
     def _moving(self, rooms: list[Room], now: float) -> list[Pick]:
--- a/starlingdeck/coordination/scheduler.py
+++ b/starlingdeck/coordination/scheduler.py
@@ -5,7 +5,7 @@
 
 from starlingdeck.coordination.jobs import Job, Place
 from starlingdeck.coordination.placement import Draw, Room
-from starlingdeck.coordination.world import World
+from starlingdeck.coordination.world import World, holds
 
 FAR = 1e9
 HOPE = 0.8  # (start) of the owner's estimate, which is often too high
@@ -256,6 +256,29 @@
     return picks, waiting
 
 
+def spread_out(job: Job, tasks: Sequence[int], able: Sequence[Room]) -> list[Pick]:
+    """Tasks that ask for room by preemption, several to a machine where it could hold them.
+
+    One stopped task often makes room for several: asking one machine for one task stopped
+    four times as much as was needed, and gave a large job its room over many seconds.
+    Replicas ask one by one, so that a machine doesn't take several with it.
+    """
+    used = zone_use(job)
+    picks: list[Pick] = []
+    left = list(reversed(tasks))
+    for room in able:
+        most = 1 if job.spec.service else min(8, holds(job.size, room.total))
+        while left and most > 0 and zones_open(job, used)(room.zone):
+            task = left.pop()
+            most -= 1
+            job.asking[task] = room.zone
+            used[room.zone] = used.get(room.zone, 0) + 1
+            picks.append(Pick(job, task, room, True))
+        if not left:
+            break
+    return picks
+
+
 def _able(job: Job, task: int, zone_ok: Callable[[int], bool]) -> Callable[[Room], bool]:
     avoid, key = job.avoid.get(task, ()), (job.index, task)
     return lambda room: zone_ok(room.zone) and room.index not in avoid and key not in room.present
--- a/starlingdeck/coordination/world.py
+++ b/starlingdeck/coordination/world.py
@@ -65,6 +65,11 @@
     return all(s <= r + 1e-9 for s, r in zip(size, room, strict=True))
 
 
+def holds(size: Size, room: Sequence[float]) -> int:
+    """How many of a size go into a room."""
+    return min((int((r + 1e-9) / s) for s, r in zip(size, room, strict=True) if s > 0), default=0)
+
+
 def size_of(spec: JobSpec) -> Size:
     return (spec.cpus, spec.gpus, spec.memory_gb)
 
--- a/tests/test_order.py
+++ b/tests/test_order.py
@@ -2,6 +2,7 @@
 
 from starlingdeck.coordination import scheduler
 from starlingdeck.coordination.jobs import Job, new_job
+from starlingdeck.coordination.placement import Room
 from starlingdeck.coordination.world import World
 from tests.build import Clock, make_world, spec
 
@@ -26,3 +27,15 @@
     large = job(world, "j-000001", 1.0, chores=70)
     small = job(world, "j-000002", 0.0, chores=4)
     assert scheduler.order(world, [large, small], world.wall_ms()) == [small, large]
+
+
+def test_tasks_that_ask_for_room_share_machines_and_keep_to_their_zones() -> None:
+    """All tasks of a spread job were asked for by one count of its zones, taken before."""
+    world = make_world(Clock())
+    rooms = [Room(i, 0, i % 2, False, 0, (4.0, 0.0, 16.0), [0.0, 0.0, 0.0]) for i in range(8)]
+    sweep = job(world, "j-000001", 0.0, chores=9, cores=1.0)
+    picks = scheduler.spread_out(sweep, list(range(9)), rooms)
+    assert [p.room.index for p in picks] == [0] * 4 + [1] * 4 + [2]
+    spread = job(world, "j-000002", 0.0, chores=3, shape="daemon", spread=True)
+    picks = scheduler.spread_out(spread, [0, 1, 2], [rooms[0], rooms[2], rooms[4], rooms[1]])
+    assert [p.room.index for p in picks] == [0, 2, 1]
