The living share the state budgets; submissions refused to one controller go through a peer

Cause: one controller standing in for three had a third of the calls; a holder that the state service refused answered 503 until its own lease was over, while its peers could write. A call whose fate is unknown is not passed on: a conflict would be answered 200 by a peer, and nobody would load the job.

--- a/starlingdeck/coordination/node.py
+++ b/starlingdeck/coordination/node.py
@@ -55,6 +55,7 @@
         budget = StateLimit(
             s.settings.state.rps, s.settings.state.write_rps, world.shards, world.now
         )
+        self.budget = budget
         self.state = StateClient(self.http, s.external.state, budget, world.now)
         cloud_share = Limiter(s.settings.cloud.rps * 0.8, 1.5, world.now)
         self.cloud = CloudClient(self.http, s.external.cloud, cloud_share)
@@ -291,6 +292,8 @@
     async def step(self) -> None:
         valid = self.membership.valid()
         now = self.world.now()
+        if valid:
+            self.budget.share_among(len(self.membership.living))
         for shard, machines in list(self.machines.items()):
             machines.check_silence()
             machines.shed()
--- a/starlingdeck/coordination/users.py
+++ b/starlingdeck/coordination/users.py
@@ -16,7 +16,7 @@
 from starlingdeck.protocol.api import JobSpec
 from starlingdeck.storage import records
 from starlingdeck.storage.records import FinalRecord, JobRecord
-from starlingdeck.storage.state import Conflict, StateClient, StateError, put
+from starlingdeck.storage.state import Conflict, StateClient, StateError, StateUnknown, put
 from starlingdeck.transport.server import Request, Response
 
 log = logging.getLogger(__name__)
@@ -122,7 +122,13 @@
         writer = self.writers.get(shard)
         if writer is not None:
             if writer.shard.loaded and self.membership.valid():
-                return await self.at_holder(writer, method, name, body)
+                try:
+                    return await self.at_holder(writer, method, name, body)
+                except StateUnknown:
+                    # It may have been executed: only we can tell by looking again.
+                    raise
+                except StateError:
+                    pass
         else:
             holder = self.membership.holders.get(shard)
             if holder is not None and holder.node != self.world.node and self.peers.up(holder.node):
@@ -135,10 +141,39 @@
                         return Response(status, reply.forwarded.body, again)
                 except PeerDown:
                     pass
-        return await self._alone(body, name, method, shard)
+        try:
+            return await self._alone(body, name, method, shard)
+        except StateError as why:
+            # The state service may refuse only us: a peer may still reach it.
+            through = await self._through_peer(body, name, method)
+            if through is None:
+                raise StateError(str(why)) from why
+            return through
+
+    async def _through_peer(self, body: bytes, name: str, method: str) -> Response | None:
+        for node in range(self.world.shards):
+            if node == self.world.node or not self.peers.up(node):
+                continue
+            forward = pb.Forward(method=method, path=name, body=body, alone=True)
+            try:
+                reply = await self.peers.call(node, pb.Envelope(forward=forward), 1.0)
+            except PeerDown:
+                continue
+            if reply.forwarded.status not in (421, 429, 503):
+                return Response(reply.forwarded.status, reply.forwarded.body)
+        return None
 
     async def forwarded(self, ask: pb.Forward) -> pb.Forwarded:
-        writer = self.writers.get(job_shard(ask.path, self.world.shards))
+        shard = job_shard(ask.path, self.world.shards)
+        if ask.alone and not self.membership.valid():
+            return pb.Forwarded(status=421)
+        writer = self.writers.get(shard)
+        if ask.alone and writer is None:
+            try:
+                reply = await self._alone(ask.body, ask.path, ask.method, shard)
+            except StateError as why:
+                reply = fault(503, str(why))
+            return pb.Forwarded(status=reply.status, body=reply.body)
         if writer is None or not writer.shard.loaded or not self.membership.valid():
             return pb.Forwarded(status=421)
         try:
--- a/starlingdeck/storage/limiter.py
+++ b/starlingdeck/storage/limiter.py
@@ -15,6 +15,10 @@
         self.now = now
         self.at = now()
 
+    def set_rate(self, rate: float, burst_s: float = 1.0) -> None:
+        self.rate = rate
+        self.burst = max(1.0, rate * burst_s)
+
     def delay(self, amount: float, urgent: bool) -> float:
         """Seconds to wait before `amount` may be taken; takes it when that is 0."""
         at = self.now()
--- a/starlingdeck/storage/state.py
+++ b/starlingdeck/storage/state.py
@@ -133,8 +133,17 @@
     """This node's share of the state service's two budgets."""
 
     def __init__(self, rps: float, write_rps: float, nodes: int, now: Callable[[], float]) -> None:
-        self.reads = Limiter(rps * 0.9 / nodes, 1.0, now)
-        self.writes = Limiter(write_rps * 0.9 / nodes, 1.0, now)
+        self.rates = (rps * 0.9, write_rps * 0.9)
+        self.nodes = nodes
+        self.reads = Limiter(self.rates[0] / nodes, 1.0, now)
+        self.writes = Limiter(self.rates[1] / nodes, 1.0, now)
+
+    def share_among(self, nodes: int) -> None:
+        """The living share the budgets: whoever stands in for the dead has their work too."""
+        if nodes != self.nodes and nodes > 0:
+            self.nodes = nodes
+            self.reads.set_rate(self.rates[0] / nodes)
+            self.writes.set_rate(self.rates[1] / nodes)
 
 
 def _decode(reply: Reply, kind: type[T]) -> T:
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -9,12 +9,15 @@
 from starlingdeck.coordination.machines import MachineShard
 from starlingdeck.coordination.membership import Holder
 from starlingdeck.coordination.node import Node
+from starlingdeck.coordination.shards import job_shard
 from starlingdeck.coordination.writer import Writer
 from starlingdeck.protocol import api
 from starlingdeck.protocol import peer_pb2 as pb
+from starlingdeck.storage import records
+from starlingdeck.storage.state import StateLimit
 from starlingdeck.transport.frames import FrameLink
 from starlingdeck.transport.server import Request
-from tests.build import Clock, make_world
+from tests.build import Clock, job_body, make_world
 from tests.model import PlainClient, PlainState
 
 
@@ -128,3 +131,48 @@
     assert curio.run(node.reports.take, report("vm-1", "b", seq=3)).status == 503
     s = node.world.settings.settings.workers
     assert node.world.outage_s + s.lease_s < s.cancel_s - 3
+
+
+def test_a_submission_goes_through_a_peer_when_the_state_service_refuses_only_us() -> None:
+    """The holder of the job's shard answered 503 until its own lease was over."""
+    clock = Clock()
+    state = PlainState(random.Random(1))
+    ours, theirs = Node(make_world(clock)), Node(make_world(clock, node=1))
+    for node in (ours, theirs):
+        client = PlainClient(state, 0.0)
+        node.users.state = client  # type: ignore[assignment]
+        node.membership.lease, node.membership.renewed = 1, clock.at
+    ours.users.state.cut = True  # type: ignore[attr-defined]
+    shard = job_shard("j-000001", 3)
+    jobs = JobShard(ours.world, shard, 5, 77)
+    jobs.loaded = True
+    ours.writers[shard] = Writer(ours.world, ours.users.state, jobs)
+    ours.peers.links[1] = FrameLink(None)
+    ours.peers.heard[1] = clock.at
+
+    async def call(node: int, envelope: pb.Envelope, timeout_s: float) -> pb.Envelope:
+        reply = await theirs.on_message(envelope)
+        assert node == 1 and reply is not None
+        return reply
+
+    ours.peers.call = call  # type: ignore[method-assign]
+    body = msgspec.json.encode(job_body("j-000001"))
+    assert curio.run(ours.serve, Request("POST", api.JOBS, body)).status == 201
+    assert {k for k in state.keys if "j-000001" in k} == {
+        records.job_key(shard, "j-000001"),
+        records.inbox_key(shard, "j-000001"),  # so that the holder learns of it
+    }
+    theirs.users.state.cut = True  # type: ignore[attr-defined]
+    refused = curio.run(
+        ours.serve, Request("POST", api.JOBS, msgspec.json.encode(job_body("j-000007")))
+    )
+    assert refused.status == 503 and dict(refused.headers)["retry-after"]
+
+
+def test_the_living_share_the_budgets() -> None:
+    """One controller alone had the work of three, and a third of the calls."""
+    limit = StateLimit(200.0, 60.0, 3, Clock().now)
+    limit.share_among(1)
+    assert limit.reads.rate == 180.0 and limit.writes.rate == 54.0
+    limit.share_among(3)
+    assert limit.writes.rate == 18.0 and limit.writes.burst == 18.0
