--- a/starlingdeck/coordination/machines.py
+++ b/starlingdeck/coordination/machines.py
@@ -814,7 +814,7 @@
     be lower work to stop elsewhere, and a stopped service is missed at once.
     """
     if new.rank > old.rank:
-        return not (old.guaranteed and not new.guaranteed)
+        return new.team == old.team or new.guaranteed or not old.guaranteed
     if old.rank > new.rank and not pressing:
         return False
     return new.guaranteed and not old.guaranteed and new.team != old.team
--- a/starlingdeck/coordination/node.py
+++ b/starlingdeck/coordination/node.py
@@ -398,7 +398,14 @@
         for (team, shard), want in self.gifts.needs.items():
             out.needs.add(team=team, shard=shard, cpus=want[0], gpus=want[1])
         for job in self.planner.own_team_jobs():
-            out.jobs.add(team=job.team, at_ms=job.at_ms, id=job.id, cpus=job.cpus, gpus=job.gpus)
+            out.jobs.add(
+                team=job.team,
+                at_ms=job.at_ms,
+                id=job.id,
+                cpus=job.cpus,
+                gpus=job.gpus,
+                rank=job.rank,
+            )
         return out
 
     async def on_hello(self, sender: int, hello: pb.Hello) -> None:
@@ -407,7 +414,7 @@
             await self.membership.seen_elsewhere(item.shard, holder)
         self.planner.demands[sender] = (self.world.now(), list(hello.demands))
         self.planner.team_jobs[sender] = [
-            TeamJob(j.team, j.at_ms, j.id, j.cpus, j.gpus) for j in hello.jobs
+            TeamJob(j.team, j.at_ms, j.id, j.cpus, j.gpus, j.rank) for j in hello.jobs
         ]
         for need in hello.needs:
             await self.gifts.give(need.team, need.shard, (need.cpus, need.gpus))
--- a/starlingdeck/coordination/planner.py
+++ b/starlingdeck/coordination/planner.py
@@ -64,9 +64,11 @@
         for writer in self.writers.values():
             for job in writer.shard.jobs.values():
                 if not job.cancelled:
-                    n = job.unfinished
+                    n, spec = job.unfinished, job.spec
                     found.append(
-                        TeamJob(job.team, job.at_ms, job.id, n * job.spec.cpus, n * job.spec.gpus)
+                        TeamJob(
+                            job.team, job.at_ms, job.id, n * spec.cpus, n * spec.gpus, spec.rank
+                        )
                     )
         return sorted(found, key=lambda j: j.at_ms)[:500]
 
--- a/starlingdeck/coordination/scheduler.py
+++ b/starlingdeck/coordination/scheduler.py
@@ -21,6 +21,7 @@
     id: str
     cpus: float
     gpus: float
+    rank: int = 0
 
 
 @dataclass(slots=True)
@@ -32,7 +33,12 @@
 
 
 def guaranteed_jobs(world: World, jobs: Iterable[TeamJob]) -> set[str]:
-    """Jobs that fit into their team's guarantee together with its earlier unfinished jobs."""
+    """Jobs that fit into their team's guarantee together with its unfinished jobs before them.
+
+    Of a team's jobs those of higher rank come before, then the earlier ones. By arrival
+    alone a backlog of low work took up the guarantee, and the team's urgent work waited
+    behind it and could not stop it.
+    """
     left = {
         i: [t.cpus, t.gpus if t.gpus > 0 else FAR]
         for i, t in enumerate(world.settings.settings.teams)
@@ -42,7 +48,7 @@
         if team.cpus <= 0:
             pair[0] = FAR
     inside: set[str] = set()
-    for job in sorted(jobs, key=lambda j: (j.at_ms, j.id)):
+    for job in sorted(jobs, key=lambda j: (-j.rank, j.at_ms, j.id)):
         room = left.get(job.team)
         if room is None:
             continue
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -82,13 +82,16 @@
 
 
 @settings(derandomize=True, max_examples=200, deadline=None)
-@given(st.lists(st.tuples(st.integers(0, 20), st.integers(1, 6)), max_size=8))
-def test_guarantee_covers_the_earliest_jobs(jobs: list[tuple[int, int]]) -> None:
+@given(st.lists(st.tuples(st.integers(0, 20), st.integers(1, 6), st.integers(0, 3)), max_size=8))
+def test_guarantee_covers_the_highest_then_the_earliest_jobs(
+    jobs: list[tuple[int, int, int]],
+) -> None:
+    """A backlog of normal work took up its team's guarantee, and its urgent work waited."""
     world = make_world(Clock())
-    found = [TeamJob(0, at, f"j-{i}", float(c), 0.0) for i, (at, c) in enumerate(jobs)]
+    found = [TeamJob(0, at, f"j-{i}", float(c), 0.0, r) for i, (at, c, r) in enumerate(jobs)]
     inside = scheduler.guaranteed_jobs(world, found)
     total = 0.0
-    for job in sorted(found, key=lambda j: (j.at_ms, j.id)):
+    for job in sorted(found, key=lambda j: (-j.rank, j.at_ms, j.id)):
         total += job.cpus
         assert (job.id in inside) == (total <= 8.0)
 
--- a/tests/test_machines.py
+++ b/tests/test_machines.py
@@ -53,6 +53,9 @@
     assert not may_preempt(array, service, False)
     assert may_preempt(array, service, True)
     assert not may_preempt(info(1, 1, True), service, True)  # its own team
+    # A guarantee is against other teams: a team's urgent work stops its own low work.
+    assert may_preempt(info(0, 2, False), array, False)
+    assert not may_preempt(info(1, 2, False), array, False)
     assert not may_preempt(info(1, 3, False), info(0, 2, True), True)
 
 
