--- a/starlingdeck/coordination/fleet.py
+++ b/starlingdeck/coordination/fleet.py
@@ -142,18 +142,26 @@
 
 
 def spare_demand(world: World, rooms: Sequence[Room], draining: Sequence[Room]) -> list[Demand]:
-    """Room to keep free for failures: the largest on-demand machine's worth, or a share."""
-    live = [r for r in rooms if not r.spot]
-    if not live:
-        return []
-    unit = min((r.total for r in live), key=lambda t: t[0])
-    total = sum(r.total[0] for r in live)
-    free = sum(max(0.0, r.free[0]) for r in live)
-    lost = sum(r.total[0] - max(0.0, r.free[0]) for r in draining)
-    short = total * world.tuning.spare_share + lost - free
-    if short <= 0 or unit[0] <= 0:
-        return []
-    return [Demand(unit, math.ceil(short / unit[0]), (), "", False, 0, False)]
+    """Room to keep free for failures and for the next jobs: a share of the ordinary machines
+    on ordinary ones, and the same share of all machines on any.
+
+    By the ordinary ones alone, spot machines that were taken in a calm minute were missed
+    only in the next busy one, a boot too late.
+    """
+    out = []
+    for spot in (False, True):
+        live = [r for r in rooms if spot or not r.spot]
+        gone = [r for r in draining if spot or not r.spot]
+        if not live:
+            continue
+        unit = min((r.total for r in live), key=lambda t: t[0])
+        total = sum(r.total[0] for r in live)
+        free = sum(max(0.0, r.free[0]) for r in live)
+        lost = sum(r.total[0] - max(0.0, r.free[0]) for r in gone)
+        short = total * world.tuning.spare_share + lost - free
+        if short > 0 and unit[0] > 0:
+            out.append(Demand(unit, math.ceil(short / unit[0]), (), "", spot, 0, False))
+    return out
 
 
 def _fits_kind(need: Demand, name: str, zone: str, spot: bool) -> bool:
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -98,3 +98,19 @@
     coming = [listed(world, f"vm-{i}", api.BOOTING, 0.0) for i in range(50)]
     asks = fleet.wanted_asks(world, state, need, [], coming, [], 0.0)
     assert [a.count for a in asks] == [10]
+
+
+def test_spot_machines_taken_in_a_calm_minute_are_made_up_for() -> None:
+    """Spare room was counted on ordinary machines alone: the lost spot machines were missed
+    in the next busy minute, a boot too late."""
+    world = make_world(Clock())
+    total = (4.0, 0.0, 16.0)
+
+    def room(index: int, spot: bool, free: float) -> Room:
+        return Room(index, 0, 0, spot, 0, total, [free, 0.0, 4 * free])
+
+    calm = [room(i, False, 4.0) for i in range(2)] + [room(9, True, 0.0)]
+    assert fleet.spare_demand(world, calm, []) == []
+    busy = [room(i, False, 2.0) for i in range(2)] + [room(i, True, 0.0) for i in range(5, 9)]
+    found = fleet.spare_demand(world, busy, [])
+    assert [(d.count, d.spot) for d in found] == [(1, True)]
