--- a/starlingdeck/coordination/world.py
+++ b/starlingdeck/coordination/world.py
@@ -62,7 +62,9 @@
 
 def fits(size: Sequence[float], room: Sequence[float]) -> bool:
     """Whether a size goes into a room; sums of decimal amounts may be off by a hair."""
-    return all(s <= r + 1e-9 for s, r in zip(size, room, strict=True))
+    # Written out: asked hundreds of thousands of times a minute, it was the costliest line.
+    cpus, gpus, memory_gb = size
+    return cpus <= room[0] + 1e-9 and gpus <= room[1] + 1e-9 and memory_gb <= room[2] + 1e-9
 
 
 def holds(size: Size, room: Sequence[float]) -> int:
