--- a/starlingdeck/coordination/writer.py
+++ b/starlingdeck/coordination/writer.py
@@ -15,6 +15,7 @@
 log = logging.getLogger(__name__)
 
 TXN_BYTES = 56 * 1024
+URGENT = 2  # ranks from here on start as urgently as a submission is taken
 
 
 class Writer:
@@ -99,7 +100,7 @@
             batch = self._batch()
             if not batch:
                 return False
-            return await self._write(batch, False)
+            return await self._write(batch, pressing(batch[0]))
 
     async def cancel(self, job: Job) -> None:
         """Durable before it returns; raises StateError when it may not be."""
@@ -122,13 +123,16 @@
         changes, size = 0, 0
         ready = sorted(
             (self.shard.jobs[i] for i in self.shard.dirty if i in self.shard.jobs),
-            key=lambda j: (-j.spec.rank, j.at_ms),
+            key=lambda j: (not (j.starts and j.spec.rank >= URGENT), -j.spec.rank, j.at_ms),
         )
         for job in ready:
             draft = self.shard.draft(job)
             if draft is None:
                 self.shard.dirty.discard(job.index)
                 continue
+            if batch and pressing(batch[0]) and not pressing(draft):
+                # Nothing else may use the calls kept for what is urgent.
+                break
             length = len(msgspec.json.encode(draft.changes))
             if batch and (changes + len(draft.changes) > most or size + length > TXN_BYTES):
                 break
@@ -164,3 +168,12 @@
         for draft in batch:
             self.shard.commit(draft, revision)
         return True
+
+
+def pressing(draft: Draft) -> bool:
+    """Whether somebody waits for this to start.
+
+    When many jobs come at once, submissions used up the changes, and replicas waited for
+    the record of their start 1 to 3 s of the 2 s that they have.
+    """
+    return bool(draft.starts) and draft.job.spec.rank >= URGENT
--- a/tests/test_order.py
+++ b/tests/test_order.py
@@ -1,10 +1,15 @@
 """Which waiting work goes first."""
 
+import random
+
 from starlingdeck.coordination import scheduler
-from starlingdeck.coordination.jobs import Job, new_job
+from starlingdeck.coordination.jobs import Job, JobShard, Place, new_job
 from starlingdeck.coordination.placement import Room
 from starlingdeck.coordination.world import World
+from starlingdeck.coordination.writer import Writer
+from starlingdeck.protocol import api
 from tests.build import Clock, make_world, spec
+from tests.model import PlainClient, PlainState
 
 
 def job(world: World, name: str, age_s: float, **other: object) -> Job:
@@ -39,3 +44,22 @@
     spread = job(world, "j-000002", 0.0, chores=3, shape="daemon", spread=True)
     picks = scheduler.spread_out(spread, [0, 1, 2], [rooms[0], rooms[2], rooms[4], rooms[1]])
     assert [p.room.index for p in picks] == [0, 2, 1]
+
+
+def test_starts_of_urgent_work_are_written_first_and_alone() -> None:
+    """Replicas waited for the record of their start behind the submissions of a busy minute."""
+    world = make_world(Clock())
+    shard = JobShard(world, 0, 3, 9)
+    writer = Writer(world, PlainClient(PlainState(random.Random(1)), 0.0), shard)  # type: ignore[arg-type]
+    low, high = job(world, "j-000001", 9.0), job(world, "j-000002", 0.0, rank="prod")
+    for one in (low, high):
+        one.versions[0] = 1
+        one.starts[0] = Place(0, 1, 1, 0, 0)
+        shard.adopt(one)
+    world.machines.put("vm-0")
+    world.zones.put("a")
+    assert [d.job for d in writer._batch()] == [high]
+    high.starts.clear()
+    high.places[0] = Place(0, 1, 1, 0, 0)
+    high.ends[0] = api.W_ERROR
+    assert [d.job for d in writer._batch()] == [high, low]
