--- a/starlingdeck/coordination/membership.py
+++ b/starlingdeck/coordination/membership.py
@@ -27,6 +27,8 @@
 TURN_S = 0.3  # how much later each next heir moves
 GRACE_S = 0.3  # how long others leave an absent shard to its own controller
 HAND_BACK_S = 2.0  # how long a returned controller must live before it gets its shard back
+HAND_BACK_AGAIN_S = 10.0  # and before the next try, when it did not take it
+WATCH_S = 3.0
 
 
 @dataclass(slots=True, frozen=True)
@@ -61,6 +63,7 @@
         self.present: dict[int, tuple[int, ShardValue]] = {}
         self.living: dict[int, float] = {}
         self.absent: dict[int, float] = {}
+        self.handed: dict[int, float] = {}
         self.synced = False
         self.reached = True
         self.revision = 0
@@ -123,7 +126,7 @@
             try:
                 if not self.synced:
                     await self._read_all()
-                events = await self.state.watch(records.CLUSTER, self.revision, 10.0)
+                events = await self.state.watch(records.CLUSTER, self.revision, WATCH_S)
                 for event in events.events:
                     await self._event(event)
                 self.revision = max(self.revision, events.revision)
@@ -211,6 +214,9 @@
                 shard != me
                 and back is not None
                 and now - back > HAND_BACK_S
+                # A controller back from a cut may still hang in its old watch: its shard went
+                # to and fro three times in two seconds, held by nobody in between.
+                and now - self.handed.get(shard, -1e9) > HAND_BACK_AGAIN_S
                 and self.hooks.may_hand_back(shard)
             ):
                 await self._hand_back(shard)
@@ -262,7 +268,7 @@
         mine = self.held[shard]
         log.info("shard %d: handed back", shard)
         await self._drop(shard)
-        self.absent[shard] = self.world.now()
+        self.absent[shard] = self.handed[shard] = self.world.now()
         await self.state.txn(
             {records.shard_key(shard): mine.token}, [drop(records.shard_key(shard))], True
         )
--- a/starlingdeck/storage/state.py
+++ b/starlingdeck/storage/state.py
@@ -123,7 +123,8 @@
     async def watch(self, prefix: str, after: int, wait_s: float) -> api.Events:
         await self.limit.reads.take(1, True)
         path = api.watch_query(prefix, after, int(wait_s * 1000))
-        reply = await self._call("GET", path, None, wait_s + 5.0)
+        # A watch opened before a cut hangs after it: its end must be noticed soon.
+        reply = await self._call("GET", path, None, wait_s + 1.5)
         if reply.status == 410:
             raise TooOld
         return _decode(reply, api.Events)
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -1,5 +1,6 @@
 """A whole node, driven without network or clock."""
 
+import itertools
 import random
 
 import curio
@@ -176,3 +177,25 @@
     assert limit.reads.rate == 180.0 and limit.writes.rate == 54.0
     limit.share_among(3)
     assert limit.writes.rate == 18.0 and limit.writes.burst == 18.0
+
+
+def test_a_shard_that_came_back_is_not_handed_over_again_at_once() -> None:
+    """A controller back from a cut was alive but hung in its old watch: its shard was handed
+    back, retaken and handed back again, three times in two seconds (incident a99b)."""
+    clock = Clock()
+    node = Node(make_world(clock))
+    own = node.membership
+    own.state = PlainClient(PlainState(random.Random(1)), 0.0)  # type: ignore[assignment]
+    own.lease, own.renewed, own.living = 1, clock.at, {0: 0.0, 1: clock.at - 3.0}
+    curio.run(own._take, 1, 0, 0.0)
+    node.writers[1].shard.loaded = True
+    held = []
+    for _ in range(140):
+        clock.at += 0.1
+        own.renewed = clock.at
+        curio.run(own._consider, 1)
+        if 1 in node.writers:
+            node.writers[1].shard.loaded = True
+        held.append(1 in own.held)
+    changes = sum(a != b for a, b in itertools.pairwise(held))
+    assert changes <= 3 and held.count(False) < 15
