Room is asked for where the image comes soon and little work is lost

Cause: machines asked at random stopped work that had run for half its time. Owners now show how long the work begun last has run, by rank.

--- a/starlingdeck/coordination/machines.py
+++ b/starlingdeck/coordination/machines.py
@@ -433,6 +433,20 @@
         infos = [self.jobs.get(split_key(key)[0]) for key in waiting]
         return {i.image for i in infos if i is not None and i.image not in machine.images}
 
+    def _youngest(self, machine: Machine) -> list[float]:
+        now, found = self.world.now(), [-1.0] * len(api.RANKS)
+        for key, seen in machine.tasks.items():
+            info = self.jobs.get(split_key(key)[0])
+            if info is None or seen.state not in (api.FETCHING, api.ON) or key in machine.evict:
+                continue
+            ran = now - seen.since if seen.state == api.ON else 0.0
+            if info.checkpoint_s > 0:
+                ran = min(ran, info.checkpoint_s)
+            rank = min(info.rank, len(found) - 1)
+            if found[rank] < 0 or ran < found[rank]:
+                found[rank] = ran
+        return found
+
     def total(self, machine: Machine) -> Size | None:
         kind = self.world.types.get(machine.type)
         return None if kind is None else total_of(kind)
@@ -785,6 +799,7 @@
             idle_s=world.now() - m.empty_since,
         )
         entry.fetching.extend(self._fetching(m))
+        entry.youngest_s.extend(self._youngest(m))
         if free is None:
             self.blind.add(m.index)
         else:
--- a/starlingdeck/coordination/placement.py
+++ b/starlingdeck/coordination/placement.py
@@ -8,6 +8,7 @@
 from starlingdeck.coordination.world import fits
 
 FULL = 0.9
+FAR = 1e6
 
 
 @dataclass(slots=True)
@@ -38,6 +39,7 @@
     pull: float = 1.0
     images: set[str] = field(default_factory=set)
     fetching: set[str] = field(default_factory=set)
+    youngest_s: list[float] = field(default_factory=list)  # by rank, as of `at`; -1: none
     present: set[tuple[int, int]] = field(default_factory=set)
 
     def shares_with(self, size: Sequence[float]) -> list[float]:
@@ -53,6 +55,11 @@
             return image_gb / self.pull * len(self.fetching) / 2
         return image_gb / self.pull * (1 + len(self.fetching))
 
+    def lost_s(self, rank: int, now: float) -> float:
+        """How much run time is lost by stopping lower work here; FAR where there is none."""
+        ran = [age for age in self.youngest_s[:rank] if age >= 0]
+        return min(ran) + now - self.at if ran else FAR
+
     def fits(self, size: Sequence[float]) -> bool:
         return fits(size, self.free)
 
--- a/starlingdeck/coordination/planner.py
+++ b/starlingdeck/coordination/planner.py
@@ -142,8 +142,7 @@
                 and scheduler.allowed(self.world, job, r)
                 and all(s <= t for s, t in zip(job.size, r.total, strict=True))
             ]
-            fetch = {r.index: round(r.fetch_s(job.spec.image, job.spec.image_gb)) for r in able}
-            able.sort(key=lambda r: (fetch[r.index], self.world.rng.random()))
+            able = scheduler.cheapest_stops(job, able, now, self.world.rng)
             tasks = [t for t in job.pending(MOST_PRESSED) if job.retry_at.get(t, 0.0) <= now]
             picks += scheduler.spread_out(job, tasks, able)
         return picks
--- a/starlingdeck/coordination/rooms.py
+++ b/starlingdeck/coordination/rooms.py
@@ -79,6 +79,7 @@
             pull=kind.fetch_gb_per_s,
             images=set(m.images),
             fetching=set(m.fetching),
+            youngest_s=list(m.youngest_s),
             present={(j, t.task) for t in m.tasks if (j := world.jobs.get(t.job)) is not None},
         )
 
--- a/starlingdeck/coordination/scheduler.py
+++ b/starlingdeck/coordination/scheduler.py
@@ -2,12 +2,14 @@
 
 from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass
+from random import Random
 
 from starlingdeck.coordination.jobs import Job, Place
 from starlingdeck.coordination.placement import Draw, Room
 from starlingdeck.coordination.world import World, holds
 
 FAR = 1e9
+LOST_WEIGHT = 0.3  # (start) a second of a stopped task's run against one of fetching
 HOPE = 0.8  # (start) of the owner's estimate, which is often too high
 SIZE_MS = 5.0  # (start) per processor-second of work: how much later a larger job counts as due
 
@@ -269,6 +271,21 @@
     return picks, waiting
 
 
+def cheapest_stops(job: Job, able: Sequence[Room], now: float, rng: Random) -> list[Room]:
+    """Machines to ask for room by preemption: a short fetch there, and little work lost.
+
+    Asked at random, machines gave up work that had run for half its time, and on a full
+    fleet that was a tenth of all there was to do.
+    """
+
+    def cost(room: Room) -> tuple[float, float]:
+        fetch = room.fetch_s(job.spec.image, job.spec.image_gb)
+        return round(fetch + LOST_WEIGHT * room.lost_s(job.spec.rank, now)), rng.random()
+
+    costs = {room.index: cost(room) for room in able}
+    return sorted(able, key=lambda room: costs[room.index])
+
+
 def spread_out(job: Job, tasks: Sequence[int], able: Sequence[Room]) -> list[Pick]:
     """Tasks that ask for room by preemption, several to a machine where it could hold them.
 
--- a/tests/test_order.py
+++ b/tests/test_order.py
@@ -63,3 +63,21 @@
     high.places[0] = Place(0, 1, 1, 0, 0)
     high.ends[0] = api.W_ERROR
     assert [d.job for d in writer._batch()] == [high, low]
+
+
+def test_room_is_asked_for_where_the_least_work_is_lost() -> None:
+    """Machines asked at random gave up work that had run for half its time."""
+    world = make_world(Clock())
+    now = world.now()
+
+    def room(index: int, *youngest_s: float) -> Room:
+        return Room(
+            index, 0, 0, False, 0, (4.0, 0.0, 16.0), [0.0, 0.0, 0.0], at=now - 5.0,
+            images={"img"}, youngest_s=list(youngest_s),
+        )  # fmt: skip
+
+    rooms = [room(0, -1, 30, -1, -1), room(1, -1, -1, 1, -1), room(2, -1, 3, 2, -1), room(3)]
+    urgent = job(world, "j-000001", 0.0, rank="urgent")
+    got = scheduler.cheapest_stops(urgent, rooms, now, world.rng)
+    assert [r.index for r in got[:2]] == [2, 0]  # rank 2 itself gives up nothing of rank 2
+    assert rooms[2].lost_s(2, now) == 8.0
