--- a/starlingdeck/coordination/jobs.py
+++ b/starlingdeck/coordination/jobs.py
@@ -300,6 +300,10 @@
             key = task_key(job.index, task)
             (self.shed.add if item.shed else self.shed.discard)(key)
             if item.state != place.seen:
+                # `since` is not known of places read from a record: those began long ago.
+                if item.state == api.ON and place.attempt == 1 and place.since > 0:
+                    waited_s = (self.world.wall_ms() - job.at_ms) / 1000
+                    self.world.meters.note(f"wait {job.spec.priority}", waited_s)
                 place.seen, place.since = item.state, now
                 changed = True
             if item.state == api.EXITED:
--- a/starlingdeck/coordination/node.py
+++ b/starlingdeck/coordination/node.py
@@ -44,6 +44,7 @@
 TICK_S = 0.1
 STEP_EVERY_S = 0.04  # what comes in meanwhile is worked off together
 DELETED_KEPT_S = 60.0
+METERS_EVERY_S = 60.0
 
 
 class Node:
@@ -120,6 +121,7 @@
             self.write_loop,
             self.fleet_loop,
             self.types_loop,
+            self.meters_loop,
         ]
         await self.peers.run(frames)
         async with curio.TaskGroup() as group:
@@ -129,6 +131,12 @@
     async def types_loop(self) -> None:
         await learn_types(self.world, self.cloud, self.kept_types, self.keep_types)
 
+    async def meters_loop(self) -> None:
+        while True:
+            await curio.sleep(METERS_EVERY_S)
+            for line in self.world.meters.lines():
+                log.info("%s", line)
+
     async def kept_types(self) -> list[api.MachineType]:
         """The machine types that a controller last read from the cloud."""
         try:
@@ -262,13 +270,18 @@
         if request.path == api.REPORT:
             if request.method != "POST":
                 return fault(405, "use POST")
+            began = self.world.now()
             response = await self.reports.take(request.body)
+            self.world.meters.note("answer report", self.world.now() - began)
         elif request.path == api.HEALTH:
             if request.method not in ("GET", "HEAD"):
                 return fault(405, "use GET")
             return self.health()
         else:
+            began = self.world.now()
             response = await self.users.handle(request)
+            kind = "look" if request.method == "GET" else "change"
+            self.world.meters.note(f"answer {kind}", self.world.now() - began)
         if self.kicked or self.reports.news:
             self.kicked = self.reports.news = False
             await self.wake.set()
--- a/tests/test_doors.py
+++ b/tests/test_doors.py
@@ -14,6 +14,7 @@
     load_job,
     new_job,
 )
+from starlingdeck.coordination.meters import Meters
 from starlingdeck.protocol import api
 from starlingdeck.protocol import peer_pb2 as pb
 from starlingdeck.protocol.settings import Fault, load_settings, load_tuning
@@ -179,3 +180,14 @@
         clock.at += 0.01
         granted += limiter.delay(1.0, True) == 0.0
     assert 95 <= granted <= 101
+
+
+def test_meters_show_each_minute_of_its_own() -> None:
+    meters = Meters()
+    for ms in range(1, 101):
+        meters.note("answer look", ms / 1000)
+    meters.note("wait prod", 1e9)
+    first, second = meters.lines()
+    assert first == "answer look: 100, p50/p90/p99 50/90/99 ms, most 100"
+    assert second.startswith("wait prod: 1, ")
+    assert meters.lines() == []
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -4,9 +4,12 @@
 
 import curio
 import msgspec
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
-from starlingdeck.coordination.jobs import JobShard, Place, new_job
+from starlingdeck.coordination.jobs import JobShard, Place, job_message, new_job
 from starlingdeck.coordination.machines import MachineShard
+from starlingdeck.coordination.names import task_key
 from starlingdeck.coordination.node import Node
 from starlingdeck.coordination.peers import pack
 from starlingdeck.coordination.sights import Sight, follow
@@ -123,3 +126,92 @@
 
     link = curio.run(fill)
     assert link.closed and len(link.backlog) <= frames.MAX_BACKLOG
+
+
+events = st.lists(
+    st.tuples(st.sampled_from("rrrrdhtl"), st.integers(0, 3), st.integers(0, 2)), max_size=25
+)
+
+
+@settings(derandomize=True, max_examples=60, deadline=None)
+@given(events)
+def test_differences_add_up_to_the_whole(steps: list[tuple[str, int, int]]) -> None:
+    """Reports, deletions, reservations, time and lost views, against the view made whole."""
+    clock = Clock()
+    world = make_world(clock)
+    machines = MachineShard(world, 1, 5, 77, 0.0)
+    sights: dict[int, Sight] = {}
+    job = job_message(new_job(world, spec("j-000001", cores=2.0), 1, 0))
+    lost = False
+    for seq, (kind, number, task) in enumerate(steps, 1):
+        if kind == "r":
+            tasks = [api.ReportTask(f"j-000001/{task}", 1, "running")] if task else []
+            body = api.Report(f"vm-{number}", "x:1", "small", "b", 1, seq, 5, tasks=tasks)
+            machines.take_report(body, True)
+        elif kind == "d":
+            machines.mark_deleted(f"vm-{number}")
+        elif kind == "h":
+            ask = pb.Reserve(to_shard=1, to_gen=77, job=job)
+            ask.spots.add(task=task + 5, attempt=1, machine=f"vm-{number}")
+            machines.reserve(ask)
+        clock.at += 4.0 if kind == "t" else 0.3
+        machines.check_silence()
+        machines.shed()
+        machines.reconcile()
+        view = machines.view(True)
+        if kind == "l":
+            lost = True
+        elif follow(world, sights, view) is None:
+            assert lost
+            lost = False
+            follow(world, sights, machines.whole_view(True))
+        if kind != "l":
+            whole: dict[int, Sight] = {}
+            follow(world, whole, machines.whole_view(True))
+            seen, want = sights[1].machines, whole[1].machines
+            for entry in (*seen.values(), *want.values()):
+                # What only time changes is counted on by who sees it.
+                entry.silent_s = entry.idle_s = 0.0
+                del entry.youngest_s[:]
+            assert seen == want
+
+
+@settings(derandomize=True, max_examples=60, deadline=None)
+@given(st.lists(st.tuples(st.sampled_from("pppelcw"), st.integers(0, 7)), max_size=30))
+def test_lists_add_up_to_what_the_jobs_record(steps: list[tuple[str, int]]) -> None:
+    world = make_world(Clock())
+    jobs = JobShard(world, 0, 3, 9)
+    machines = MachineShard(world, 1, 5, 77, 0.0)
+    world.zones.put("b")
+    job = new_job(world, spec("j-000001", chores=8), 0, 0)
+    job.versions[0] = 1
+    jobs.adopt(job)
+    for revision, (kind, task) in enumerate(steps, 2):
+        draft = None
+        if kind == "p" and task not in job.places:
+            job.starts[task] = Place(world.machines.put(f"vm-{task % 3}"), 1, revision, 1, 0)
+            draft = jobs.draft(job)
+        elif kind == "e" and task in job.places:
+            job.ends[task] = api.W_ERROR
+            draft = jobs.draft(job)
+        elif kind == "c" and not job.cancelled:
+            draft = jobs.draft_cancel(job)
+        if draft is not None:
+            jobs.commit(draft, revision)
+        job.starts.clear()
+        if jobs.jobs.get(job.index) is not job:
+            break
+        wants = jobs.wants(1, 77, kind == "w")
+        if kind == "l" or not machines.apply_wants(wants):
+            assert machines.apply_wants(jobs.wants(1, 77, True))
+        there = {
+            (index, task_key(job.index, task)): (place.attempt, job.cancelled)
+            for task, place in job.places.items()
+            for index in [place.machine]
+        }
+        listed = {
+            (index, key): (want.attempt, want.stop)
+            for index, table in machines.wants.get(0, {}).items()
+            for key, want in table.items()
+        }
+        assert listed == there
