--- a/starlingdeck/coordination/peers.py
+++ b/starlingdeck/coordination/peers.py
@@ -36,7 +36,7 @@
         self.again = again
         self.links: dict[int, FrameLink] = {}
         self.heard: dict[int, float] = {}
-        self.calls: dict[int, tuple[curio.Event, list[pb.Envelope]]] = {}
+        self.calls: dict[int, tuple[curio.Event, list[pb.Envelope], int]] = {}
         self.next_call = 1
 
     def up(self, node: int) -> bool:
@@ -98,6 +98,10 @@
             log.debug("link to %d ended: %r", node, fault)
         finally:
             link.closed = True
+            # Nobody will answer on this link: a submission passed on must not wait for that.
+            for event, _, to in list(self.calls.values()):
+                if to == node:
+                    await event.set()
 
     async def serve(self, link: FrameLink) -> None:
         """Frames from a peer that dialled us. A garbled one ends its connection only."""
@@ -146,7 +150,7 @@
         number = self.next_call
         self.next_call += 1
         event, box = curio.Event(), []  # type: ignore[var-annotated]
-        self.calls[number] = (event, box)
+        self.calls[number] = (event, box, node)
         envelope.call = number
         try:
             await self.send(node, envelope)
@@ -156,6 +160,8 @@
             raise PeerDown(f"no reply from {node}") from fault
         finally:
             self.calls.pop(number, None)
+        if not box:
+            raise PeerDown(f"the link to {node} ended")
         reply: pb.Envelope = box[0]
         return reply
 
--- a/tests/test_transport.py
+++ b/tests/test_transport.py
@@ -3,8 +3,13 @@
 import curio
 from curio import socket
 
+from starlingdeck.coordination.node import Node
+from starlingdeck.coordination.peers import PeerDown
+from starlingdeck.protocol import peer_pb2 as pb
 from starlingdeck.transport.client import HttpClient
+from starlingdeck.transport.frames import FrameLink
 from starlingdeck.transport.server import HttpServer, Request, Response
+from tests.build import Clock, make_world
 
 
 async def talk(servers: int, max_open: int) -> tuple[list[int], int]:
@@ -28,3 +33,32 @@
 def test_idle_connections_to_old_addresses_make_room_for_new_ones() -> None:
     """They were never closed: after enough machines had come and gone, nobody could be called."""
     assert curio.run(talk, 5, 2) == ([200] * 5, 2)
+
+
+def test_a_call_ends_with_its_link() -> None:
+    """Submissions passed on to a controller that crashed waited 1 s for nothing."""
+    node = Node(make_world(Clock()))
+
+    async def cut() -> str:
+        crash = curio.Event()
+
+        async def receive() -> bytes:
+            await crash.wait()
+            raise ConnectionError("reset")
+
+        async def send(payload: bytes, timeout_s: float) -> None:
+            await crash.set()
+
+        link = FrameLink(None)
+        link.receive, link.send = receive, send  # type: ignore[method-assign]
+        node.peers.links[1] = link
+        reader = await curio.spawn(node.peers._read_replies, 1, link)
+        try:
+            await node.peers.call(1, pb.Envelope(forward=pb.Forward()), 1.0)
+        except PeerDown as why:
+            return str(why)
+        finally:
+            await reader.join()
+        return ""
+
+    assert curio.run(cut) == "the link to 1 ended"
