--- a/starlingdeck/coordination/placement.py
+++ b/starlingdeck/coordination/placement.py
@@ -89,15 +89,13 @@
         self,
         rooms: Sequence[Room],
         size: Sequence[float],
-        image: str,
-        image_gb: float,
+        fetch_s: Callable[[Room], float],
         prefer_spot: bool,
         most: int,
         rng: random.Random,
     ) -> None:
         self.size = size
-        self.image = image
-        self.image_gb = image_gb
+        self.fetch_s = fetch_s
         self.prefer_spot = prefer_spot
         pool = [r for r in rooms if r.fits(size)]
         if len(pool) > most:
@@ -109,7 +107,7 @@
 
     def _rank(self, room: Room) -> tuple[float, bool, bool, float]:
         return (
-            round(room.fetch_s(self.image, self.image_gb)),
+            round(self.fetch_s(room)),
             room.speed < 0.7,
             room.spot != self.prefer_spot,
             -start_score(room.shares_with(self.size)),
--- a/starlingdeck/coordination/scheduler.py
+++ b/starlingdeck/coordination/scheduler.py
@@ -215,13 +215,7 @@
             waiting.append((job, missed))
             continue
         draw = Draw(
-            fitting,
-            job.size,
-            job.spec.image,
-            job.spec.image_gb,
-            False,
-            world.tuning.score_machines,
-            world.rng,
+            fitting, job.size, fetch_cost(job), False, world.tuning.score_machines, world.rng
         )
         if not draw.pool:
             full.add((kind, job.size))
@@ -271,6 +265,18 @@
     return picks, waiting
 
 
+def fetch_cost(job: Job) -> Callable[[Room], float]:
+    """How a machine's fetch counts for a job's tasks.
+
+    For replicas a machine only has the image or not: the few with the fastest fetch would
+    take the replicas of many services, and one of them that dies takes all of those with it.
+    """
+    image, image_gb = job.spec.image, job.spec.image_gb
+    if job.spec.service:
+        return lambda room: 0.0 if image in room.images else 1.0 + image_gb
+    return lambda room: room.fetch_s(image, image_gb)
+
+
 def cheapest_stops(job: Job, able: Sequence[Room], now: float, rng: Random) -> list[Room]:
     """Machines to ask for room by preemption: a short fetch there, and little work lost.
 
@@ -278,9 +284,10 @@
     fleet that was a tenth of all there was to do.
     """
 
+    fetch_s = fetch_cost(job)
+
     def cost(room: Room) -> tuple[float, float]:
-        fetch = room.fetch_s(job.spec.image, job.spec.image_gb)
-        return round(fetch + LOST_WEIGHT * room.lost_s(job.spec.rank, now)), rng.random()
+        return round(fetch_s(room) + LOST_WEIGHT * room.lost_s(job.spec.rank, now)), rng.random()
 
     costs = {room.index: cost(room) for room in able}
     return sorted(able, key=lambda room: costs[room.index])
--- a/tests/test_order.py
+++ b/tests/test_order.py
@@ -81,3 +81,22 @@
     got = scheduler.cheapest_stops(urgent, rooms, now, world.rng)
     assert [r.index for r in got[:2]] == [2, 0]  # rank 2 itself gives up nothing of rank 2
     assert rooms[2].lost_s(2, now) == 8.0
+
+
+def test_replicas_do_not_crowd_on_the_machine_with_the_fastest_fetch() -> None:
+    """Many replicas were on one large machine, and were gone at once when it died."""
+    world = make_world(Clock())
+    rooms = [
+        Room(i, 1, 0, False, 0, (16.0, 0.0, 64.0), [16.0, 0.0, 64.0], pull=0.2 if i else 2.0)
+        for i in range(6)
+    ]
+    jobs = [
+        job(world, f"j-{i:06d}", 0.0, shape="daemon", rank="prod", chores=1, cores=4.0,
+            ram_gb=16.0, kit=f"img-{i}", image_gb=2.0)
+        for i in range(6)
+    ]  # fmt: skip
+    picks, _ = scheduler.plan(world, jobs, rooms, lambda j: 9, 99)
+    assert len({p.room.index for p in picks}) == 6
+    sweep = job(world, "j-000009", 0.0, cores=1.0, ram_gb=4.0, chores=2, image_gb=2.0)
+    fast, _ = scheduler.plan(world, [sweep], rooms, lambda j: 9, 99)
+    assert {p.room.index for p in fast} == {0}
