A new holder's view replaces what the former one saw

Found on rereading: since rooms are kept, machines that only a former holder had seen stayed among them, drawn in vain, and a machine lost in the handover would never have been returned to the cloud.

--- a/starlingdeck/coordination/exchange.py
+++ b/starlingdeck/coordination/exchange.py
@@ -94,8 +94,7 @@
         if touched is None:
             return None
         sight = self.sights[view.shard]
-        if touched:
-            self.rooms.show(sight, touched)
+        self.rooms.show(sight, touched)
         now = self.world.now()
         every = now - sight.judged_at >= REPEAT_S
         if every:
--- a/starlingdeck/coordination/rooms.py
+++ b/starlingdeck/coordination/rooms.py
@@ -1,6 +1,6 @@
 """Every machine known, with its room by the newest views and less what was just asked for."""
 
-from collections.abc import Iterable
+from collections.abc import Collection
 from dataclasses import dataclass
 
 from starlingdeck.coordination.membership import Membership
@@ -32,9 +32,12 @@
         self.taken: dict[int, dict[tuple[int, int], Taken]] = {}
         self.news = True
 
-    def show(self, sight: Sight, touched: Iterable[int]) -> None:
+    def show(self, sight: Sight, touched: Collection[int]) -> None:
         """Machines of a shard have changed."""
-        self.sights[sight.shard] = sight
+        if self.sights.get(sight.shard) is not sight:
+            # A new holder: what only the former one saw may be gone, and nobody would say so.
+            self.shards.pop(sight.shard, None)
+            self.sights[sight.shard] = sight
         shard = self.shards.setdefault(sight.shard, {})
         for index in touched:
             entry = sight.machines.get(index)
@@ -43,8 +46,9 @@
                 shard[index] = room
             else:
                 shard.pop(index, None)
-        self.drawn.pop(sight.shard, None)
-        self.news = True
+        if shard and touched:
+            self.drawn.pop(sight.shard, None)
+            self.news = True
 
     def forget(self, shard: int) -> None:
         self.shards.pop(shard, None)
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -9,6 +9,7 @@
 
 from starlingdeck.coordination.jobs import JobShard, Place, job_message, new_job
 from starlingdeck.coordination.machines import MachineShard
+from starlingdeck.coordination.membership import Holder
 from starlingdeck.coordination.names import task_key
 from starlingdeck.coordination.node import Node
 from starlingdeck.coordination.peers import pack
@@ -215,3 +216,18 @@
             for key, want in table.items()
         }
         assert listed == there
+
+
+def test_machines_that_only_a_former_holder_saw_are_forgotten() -> None:
+    """They stayed in the table of rooms as it is kept now: drawn in vain, and never returned."""
+    clock = Clock()
+    node = Node(make_world(clock))
+    for gen, names in ((77, ("vm-1", "vm-2")), (78, ()), (78, ("vm-2",))):
+        machines = MachineShard(node.world, 1, 5, gen, 0.0)
+        node.membership.holders[1] = Holder(1, gen, gen)
+        for name in names:
+            machines.take_report(report(name), True)
+        machines.reconcile()
+        machines.view(True)
+        assert node.exchange.take_view(machines.whole_view(True)) is False
+        assert {node.world.machines[r.index] for r in node.rooms.all()} == set(names)
