--- a/starlingdeck/cli.py
+++ b/starlingdeck/cli.py
@@ -1,7 +1,6 @@
 """The command line: run a controller, check its files, look at or cancel a job."""
 
 import gc
-import http.client
 import logging
 import os
 import random
@@ -111,6 +110,8 @@
 
 
 def _ask(server: str, method: str, path: str) -> None:
+    import http.client  # a controller's start doesn't wait for it
+
     try:
         conn = http.client.HTTPConnection(server, timeout=10)
         conn.request(method, path)
--- a/starlingdeck/coordination/fleet.py
+++ b/starlingdeck/coordination/fleet.py
@@ -2,7 +2,8 @@
 
 import math
 from collections.abc import Sequence
-from dataclasses import dataclass, field, replace
+
+from msgspec import Struct, field, structs
 
 from starlingdeck.coordination.placement import Room
 from starlingdeck.coordination.world import Size, World, fits, holds, total_of
@@ -14,8 +15,7 @@
 Bin = tuple[int, str, bool, list[float]]  # type, zone, spot, room
 
 
-@dataclass(slots=True)
-class Demand:
+class Demand(Struct):
     """Tasks of one kind that found no machine."""
 
     size: Size
@@ -27,8 +27,7 @@
     service: bool
 
 
-@dataclass(slots=True)
-class Ask:
+class Ask(Struct):
     """A rental request; its name is never used for anything else."""
 
     name: str
@@ -40,8 +39,7 @@
     tries: int = 0
 
 
-@dataclass(slots=True)
-class Listed:
+class Listed(Struct):
     """A machine as the cloud's list had it, or as a rental's answer promised it."""
 
     name: str
@@ -54,8 +52,7 @@
     last_up: float = -1e9
 
 
-@dataclass(slots=True)
-class FleetState:
+class FleetState(Struct):
     listed: dict[str, Listed] = field(default_factory=dict)
     asks: list[Ask] = field(default_factory=list)
     no_capacity: dict[tuple[int, str, bool], float] = field(default_factory=dict)
@@ -128,7 +125,7 @@
     for need in sorted(needs, key=lambda d: (-d.rank, -d.size[0])):
         left = need.count - _take(world, need, need.count, bins)
         while left > 0 and sum(new.values()) < MOST_WANTED:
-            choice = cheapest(world, state, replace(need, count=left), now)
+            choice = cheapest(world, state, structs.replace(need, count=left), now)
             if choice is None:
                 break
             bins.append((*choice, list(total_of(world.types[choice[0]]))))
@@ -151,7 +148,7 @@
     for d in demands:
         key = (d.size, d.types, d.zone, d.spot, d.rank, d.service)
         known = found.get(key)
-        found[key] = replace(d, count=d.count + (known.count if known else 0))
+        found[key] = structs.replace(d, count=d.count + (known.count if known else 0))
     return list(found.values())
 
 
--- a/starlingdeck/coordination/jobs.py
+++ b/starlingdeck/coordination/jobs.py
@@ -6,7 +6,8 @@
 
 import logging
 from array import array
-from dataclasses import dataclass, field
+
+from msgspec import Struct, field
 
 from starlingdeck.coordination.names import split_key, task_key
 from starlingdeck.coordination.shards import machine_shard
@@ -24,8 +25,7 @@
 PENDING, PLACED, DONE = range(3)
 
 
-@dataclass(slots=True)
-class Place:
+class Place(Struct):
     """Where an attempt is, as recorded. `listed` is the Wants that first named it."""
 
     machine: int
@@ -43,8 +43,7 @@
     target_until: float = 0.0
 
 
-@dataclass(slots=True)
-class Job:
+class Job(Struct):
     index: int
     id: str
     spec: JobSpec
@@ -101,8 +100,7 @@
         return len(self.places) + len(self.starts) + len(self.asking)
 
 
-@dataclass(slots=True)
-class Out:
+class Out(Struct):
     """What a machine shard has been told, and what has changed since."""
 
     gen: int = 0
@@ -120,8 +118,7 @@
         return bool(self.whole or self.changed or self.gone or self.jobs)
 
 
-@dataclass(slots=True)
-class Draft:
+class Draft(Struct):
     """One job's part of a transaction, and how to make it true once it is durable."""
 
     job: Job
--- a/starlingdeck/coordination/machines.py
+++ b/starlingdeck/coordination/machines.py
@@ -11,7 +11,8 @@
 
 import logging
 from collections.abc import Iterable
-from dataclasses import dataclass, field
+
+from msgspec import Struct, field
 
 from starlingdeck.coordination import shedding
 from starlingdeck.coordination.names import split_key, task_key
@@ -28,8 +29,7 @@
 LOOK_S = 0.2  # how often silence is looked for
 
 
-@dataclass(slots=True)
-class JobInfo:
+class JobInfo(Struct):
     """What a machine's owner must know of a job that runs there."""
 
     team: int
@@ -45,8 +45,7 @@
     estimate_s: float
 
 
-@dataclass(slots=True)
-class Seen:
+class Seen(Struct):
     """A task as the newest report has it."""
 
     attempt: int
@@ -56,8 +55,7 @@
     since: float
 
 
-@dataclass(slots=True)
-class Launch:
+class Launch(Struct):
     """A start that no report has shown yet. `sent` counts tries to deliver it."""
 
     attempt: int
@@ -65,24 +63,21 @@
     sent: int = 0
 
 
-@dataclass(slots=True)
-class Want:
+class Want(Struct):
     attempt: int
     session: int
     stop: bool
     grace_s: float
 
 
-@dataclass(slots=True)
-class Hold:
+class Hold(Struct):
     """Room kept for a task whose record is being written."""
 
     attempt: int
     until: float
 
 
-@dataclass(slots=True)
-class Machine:
+class Machine(Struct):
     index: int
     name: str
     address: str
--- a/starlingdeck/coordination/membership.py
+++ b/starlingdeck/coordination/membership.py
@@ -2,10 +2,10 @@
 
 import logging
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
 
 import curio
 import msgspec
+from msgspec import Struct
 
 from starlingdeck.coordination.shards import heirs
 from starlingdeck.coordination.world import DRIFT, World
@@ -31,15 +31,13 @@
 WATCH_S = 3.0
 
 
-@dataclass(slots=True, frozen=True)
-class Holder:
+class Holder(Struct, frozen=True):
     node: int
     token: int
     gen: int
 
 
-@dataclass(slots=True)
-class Hooks:
+class Hooks(Struct):
     """What the node does when its holdings or the cluster's keys change."""
 
     gained: Callable[[int, int, int, float], Awaitable[None]]
--- a/starlingdeck/coordination/meters.py
+++ b/starlingdeck/coordination/meters.py
@@ -1,11 +1,11 @@
 """How long answers and starts took, and where time goes: log lines show it now and then."""
 
 from collections.abc import Callable
-from dataclasses import dataclass
 from typing import Any
 
 from curio.kernel import Activation
 from hdrh.histogram import HdrHistogram
+from msgspec import Struct
 
 MOST_MS = 600_000
 DIGITS = 2
@@ -36,8 +36,7 @@
         return out
 
 
-@dataclass(slots=True)
-class Slice:
+class Slice(Struct):
     runs: int = 0
     total_s: float = 0.0
     longest_s: float = 0.0
--- a/starlingdeck/coordination/node.py
+++ b/starlingdeck/coordination/node.py
@@ -45,6 +45,7 @@
 STEP_EVERY_S = 0.04  # what comes in meanwhile is worked off together
 DELETED_KEPT_S = 60.0
 METERS_EVERY_S = 60.0
+SLOW_S = 0.15  # an answer to a change after this is told at log level debug
 
 
 class Node:
@@ -231,7 +232,8 @@
     async def raised(self, shard: int, token: int) -> None:
         writer, machines = self.writers.get(shard), self.machines.get(shard)
         if writer is not None:
-            writer.shard.token = token
+            # A write that met the raised key before we knew of it took the shard for lost.
+            writer.shard.token, writer.lost = token, False
         if machines is not None:
             machines.token = token
 
@@ -286,7 +288,10 @@
             began = self.world.now()
             response = await self.users.handle(request)
             kind = "look" if request.method == "GET" else "change"
-            self.world.meters.note(f"answer {kind}", self.world.now() - began)
+            took_s = self.world.now() - began
+            self.world.meters.note(f"answer {kind}", took_s)
+            if kind == "change" and (took_s > SLOW_S or response.status >= 400):
+                log.debug("answered %d after %.3f s: %s", response.status, took_s, response.body)
         if self.kicked or self.reports.news:
             self.kicked = self.reports.news = False
             await self.wake.set()
--- a/starlingdeck/coordination/placement.py
+++ b/starlingdeck/coordination/placement.py
@@ -3,7 +3,8 @@
 import heapq
 import random
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass, field
+
+from msgspec import Struct, field
 
 from starlingdeck.coordination.world import fits
 
@@ -11,8 +12,7 @@
 FAR = 1e6
 
 
-@dataclass(slots=True)
-class Room:
+class Room(Struct):
     """A machine as the scorers see it. Amounts are cpus, gpus, memory.
 
     `silent_s` and `idle_s` are as of `at`; `open` is what its owner says, and `drawable`
--- a/starlingdeck/coordination/planner.py
+++ b/starlingdeck/coordination/planner.py
@@ -168,11 +168,10 @@
         """For work that may preempt: machines to ask for room by stopping lower work."""
         if not (job.spec.rank > 0 or job.guaranteed) or now < self.preempt_at.get(job.index, 0.0):
             return []
-        tasks = job.ready(MOST_PRESSED, now)
-        able = [r for r in found.allowed(job) if scheduler.may_yield(self.world, job, r)]
-        if not tasks or not able:
-            return []
         self.preempt_at[job.index] = now + 0.5
+        tasks = job.ready(MOST_PRESSED, now)
+        ranks = scheduler.stoppable_ranks(self.world, job)
+        able = [r for r in found.allowed(job) if scheduler.may_yield(job, ranks, r)]
         able = scheduler.cheapest_stops(job, able, now, self.world.rng)
         return scheduler.spread_out(job, tasks, able)
 
--- a/starlingdeck/coordination/quota.py
+++ b/starlingdeck/coordination/quota.py
@@ -5,7 +5,7 @@
 the receiver counts it only when it has read the key.
 """
 
-from dataclasses import dataclass, field
+from msgspec import Struct, field
 
 from starlingdeck.coordination.world import World
 
@@ -13,8 +13,7 @@
 FREE = 1e12
 
 
-@dataclass(slots=True)
-class Quota:
+class Quota(Struct):
     world: World
     shares: dict[int, list[Pair]] = field(default_factory=dict)
     versions: dict[int, int] = field(default_factory=dict)
--- a/starlingdeck/coordination/rooms.py
+++ b/starlingdeck/coordination/rooms.py
@@ -1,7 +1,8 @@
 """Every machine known, with its room by the newest views and less what was just asked for."""
 
 from collections.abc import Collection
-from dataclasses import dataclass
+
+from msgspec import Struct
 
 from starlingdeck.coordination.membership import Membership
 from starlingdeck.coordination.peers import Peers
@@ -15,8 +16,7 @@
 GIVEN_S = 0.4  # and how long after it was given: by then a view shows it
 
 
-@dataclass(slots=True)
-class Taken:
+class Taken(Struct):
     until: float
     size: Size
     room: Room  # as it was picked
--- a/starlingdeck/coordination/scheduler.py
+++ b/starlingdeck/coordination/scheduler.py
@@ -1,12 +1,14 @@
 """Which waiting tasks go next, and where (DESIGN 2). Pure: rooms and jobs in, picks out."""
 
 from collections.abc import Callable, Iterable, Sequence
-from dataclasses import dataclass
 from random import Random
 
+from msgspec import Struct
+
 from starlingdeck.coordination.jobs import Job, Place
 from starlingdeck.coordination.placement import Draw, Room
 from starlingdeck.coordination.world import World, fits, holds
+from starlingdeck.protocol import api
 
 FAR = 1e9
 LOST_WEIGHT = 0.3  # (start) a second of a stopped task's run against one of fetching
@@ -14,8 +16,7 @@
 SIZE_MS = 5.0  # (start) per processor-second of work: how much later a larger job counts as due
 
 
-@dataclass(slots=True, frozen=True)
-class TeamJob:
+class TeamJob(Struct, frozen=True):
     """An unfinished job anywhere in the service, for the guarantees."""
 
     team: int
@@ -26,8 +27,7 @@
     rank: int = 0
 
 
-@dataclass(slots=True)
-class Pick:
+class Pick(Struct):
     job: Job
     task: int
     room: Room
@@ -286,18 +286,20 @@
     return picks, found.waiting
 
 
-def may_yield(world: World, job: Job, room: Room) -> bool:
-    """Whether a machine that a task fits into by size has work that it may stop at all.
+def stoppable_ranks(world: World, job: Job) -> int:
+    """Work of ranks below this may be stopped for the job's tasks, as the protocol allows."""
+    if pressing(world, job):
+        return len(api.RANKS)
+    return job.spec.rank + job.guaranteed
+
+
+def may_yield(job: Job, ranks: int, room: Room) -> bool:
+    """Whether a machine that a task fits into by size has work below `ranks` at all.
 
     On a full fleet most have none, and they were asked all the same: the requests and their
     refusals took a fifth of a controller's processor time.
     """
-    if not fits(job.size, room.total):
-        return False
-    ranks = job.spec.rank + job.guaranteed
-    if pressing(world, job):
-        ranks = len(room.youngest_s)
-    return any(age >= 0 for age in room.youngest_s[:ranks])
+    return fits(job.size, room.total) and max(room.youngest_s[:ranks], default=-1.0) >= 0
 
 
 def fetch_cost(job: Job) -> Callable[[Room], float]:
--- a/starlingdeck/coordination/shedding.py
+++ b/starlingdeck/coordination/shedding.py
@@ -2,13 +2,13 @@
 
 import random
 from collections.abc import Sequence
-from dataclasses import dataclass
+
+from msgspec import Struct
 
 from starlingdeck.coordination.placement import start_score
 
 
-@dataclass(slots=True, frozen=True)
-class Load:
+class Load(Struct, frozen=True):
     """A task on the machine: its index, its size, and what moving it would cost."""
 
     key: int
--- a/starlingdeck/coordination/sights.py
+++ b/starlingdeck/coordination/sights.py
@@ -1,13 +1,12 @@
 """What this node sees of a machine shard, here or at a peer, kept up from its views."""
 
-from dataclasses import dataclass, field
+from msgspec import Struct, field
 
 from starlingdeck.coordination.world import World
 from starlingdeck.protocol import peer_pb2 as pb
 
 
-@dataclass(slots=True)
-class Sight:
+class Sight(Struct):
     world: World
     shard: int
     gen: int
--- a/starlingdeck/coordination/world.py
+++ b/starlingdeck/coordination/world.py
@@ -2,7 +2,8 @@
 
 import random
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass, field
+
+from msgspec import Struct, field
 
 from starlingdeck.coordination.meters import Meters, Slices
 from starlingdeck.coordination.names import Names
@@ -13,8 +14,7 @@
 DRIFT = 1.002  # steady clocks of two machines differ by 0.05% each; with room to spare
 
 
-@dataclass(slots=True)
-class World:
+class World(Struct):
     settings: Settings
     tuning: Tuning
     now: Callable[[], float]
--- a/starlingdeck/coordination/writer.py
+++ b/starlingdeck/coordination/writer.py
@@ -92,15 +92,22 @@
         return self._adopt(entry, parts)
 
     async def flush(self) -> bool:
-        """One transaction's worth of changes; True when something became durable."""
+        """One transaction's worth of changes; True when there may be more.
+
+        What is written is chosen when the budget has room for it. Chosen before the wait, each
+        of a job's starts was a write of its own, and urgent ones waited behind what had been
+        chosen first; a cancel waited for the lock as long.
+        """
         async with self.lock:
             if self.lost or not self.shard.loaded:
                 return False
             await self._reload_stale()
-            batch = self._batch()
-            if not batch:
-                return False
-            return await self._write(batch, pressing(batch[0]))
+            batch, wait_s = self._batch()
+            if batch:
+                return await self._write(batch, pressing(batch[0]))
+        if wait_s > 0:
+            await curio.sleep(wait_s)
+        return wait_s > 0
 
     async def cancel(self, job: Job) -> None:
         """Durable before it returns; raises StateError when it may not be."""
@@ -117,7 +124,8 @@
         for job in [j for j in self.shard.jobs.values() if j.stale]:
             await self.reload(job.id)
 
-    def _batch(self) -> list[Draft]:
+    def _batch(self) -> tuple[list[Draft], float]:
+        """What to write now; or nothing, and how long until the budget has room for it."""
         most = self.world.settings.settings.state.txn_ops
         batch: list[Draft] = []
         changes, size = 0, 0
@@ -130,7 +138,12 @@
             if draft is None:
                 self.shard.dirty.discard(job.index)
                 continue
-            if batch and pressing(batch[0]) and not pressing(draft):
+            if not batch:
+                room, wait_s = self.state.writable(pressing(draft))
+                if not room:
+                    return [], wait_s
+                most = min(most, room)
+            elif pressing(batch[0]) and not pressing(draft):
                 # Nothing else may use the calls kept for what is urgent.
                 break
             length = len(msgspec.json.encode(draft.changes))
@@ -139,7 +152,7 @@
             batch.append(draft)
             changes += len(draft.changes)
             size += length
-        return batch
+        return batch, 0.0
 
     async def _write(self, batch: list[Draft], urgent: bool) -> bool:
         conditions: dict[str, int] = {}
--- a/starlingdeck/storage/state.py
+++ b/starlingdeck/storage/state.py
@@ -94,6 +94,10 @@
                 return found, revision
             after = page.items[-1].key
 
+    def writable(self, urgent: bool) -> tuple[int, float]:
+        """How many changes the budget has room for now, and how long until it has for one."""
+        return self.limit.writes.free(urgent)
+
     async def txn(
         self, conditions: dict[str, int], changes: list[api.Change], urgent: bool = False
     ) -> int:
@@ -102,7 +106,7 @@
         body = api.Txn([api.Condition(k, v) for k, v in conditions.items()], changes)
         reply = await self._call("POST", api.TXN, body)
         if reply.status == 409:
-            raise Conflict(_decode(reply, api.TxnFailed).failed)
+            raise Conflict(_decode(reply, api.TxnFailed, 409).failed)
         if reply.status == 400 and b"lease" in reply.body:
             raise LeaseLost
         return _decode(reply, api.TxnDone).revision
@@ -147,9 +151,9 @@
             self.writes.set_rate(self.rates[1] / nodes)
 
 
-def _decode(reply: Reply, kind: type[T]) -> T:
+def _decode(reply: Reply, kind: type[T], status: int = 200) -> T:
     # A nonsense answer says nothing of what was executed: the caller must look again.
-    if reply.status != 200:
+    if reply.status != status:
         raise StateUnknown(f"answered {reply.status}")
     try:
         return msgspec.json.decode(reply.body, type=kind)
--- a/tests/model.py
+++ b/tests/model.py
@@ -70,6 +70,9 @@
         self.trouble = trouble
         self.cut = False
 
+    def writable(self, urgent: bool) -> tuple[int, float]:
+        return 1000, 0.0
+
     async def txn(
         self, conditions: dict[str, int], changes: list[api.Change], urgent: bool = False
     ) -> int:
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -6,7 +6,7 @@
 import curio
 import msgspec
 
-from starlingdeck.coordination.jobs import JobShard
+from starlingdeck.coordination.jobs import JobShard, Place, new_job
 from starlingdeck.coordination.machines import MachineShard
 from starlingdeck.coordination.membership import Holder
 from starlingdeck.coordination.node import Node
@@ -15,10 +15,10 @@
 from starlingdeck.protocol import api
 from starlingdeck.protocol import peer_pb2 as pb
 from starlingdeck.storage import records
-from starlingdeck.storage.state import StateLimit
+from starlingdeck.storage.state import StateLimit, put
 from starlingdeck.transport.frames import FrameLink
 from starlingdeck.transport.server import Request
-from tests.build import Clock, job_body, make_world
+from tests.build import Clock, job_body, make_world, spec
 from tests.model import PlainClient, PlainState
 
 
@@ -199,3 +199,27 @@
         held.append(1 in own.held)
     changes = sum(a != b for a, b in itertools.pairwise(held))
     assert changes <= 3 and held.count(False) < 15
+
+
+def test_a_write_that_meets_our_own_raised_token_loses_nothing() -> None:
+    """The key's new stamp was there before the answer that told us of it: the write's condition
+    failed, and the shard's records would never have been written again."""
+    clock = Clock()
+    node = Node(make_world(clock))
+    own, state = node.membership, PlainState(random.Random(1))
+    client = PlainClient(state, 0.0)
+    own.state = node.state = client  # type: ignore[assignment]
+    own.lease, own.renewed = 1, clock.at
+    curio.run(own._take, 1, 0, 0.0)
+    writer, key = node.writers[1], records.shard_key(1)
+    writer.shard.loaded = True
+    job = new_job(node.world, spec("j-000001"), 1, 0)
+    job.starts[0] = Place(node.world.machines.put("vm-1"), 1, 1, 1, node.world.zones.put("b"))
+    job.versions[0] = 0
+    writer.shard.adopt(job)
+    value = records.ShardValue(0, own.held[1].gen)
+    assert not state.apply({key: own.held[1].token}, [put(key, value)])
+    assert not curio.run(writer.flush) and writer.lost and not job.places
+    told = api.Event(state.epoch, key, msgspec.Raw(msgspec.json.encode(value)))
+    curio.run(own._event, told)
+    assert curio.run(writer.flush) and list(job.places) == [0]
--- a/tests/test_order.py
+++ b/tests/test_order.py
@@ -2,12 +2,17 @@
 
 import random
 
+import curio
+
 from starlingdeck.coordination import scheduler
 from starlingdeck.coordination.jobs import Job, JobShard, Place, new_job
 from starlingdeck.coordination.placement import Room
 from starlingdeck.coordination.world import World
 from starlingdeck.coordination.writer import Writer
 from starlingdeck.protocol import api
+from starlingdeck.storage import records
+from starlingdeck.storage.limiter import Limiter
+from starlingdeck.storage.state import put
 from tests.build import Clock, make_world, spec
 from tests.model import PlainClient, PlainState
 
@@ -54,18 +59,19 @@
     def room(*ages: float) -> Room:
         return Room(0, 0, 0, False, 0, (4.0, 0.0, 16.0), [0.0, 0.0, 0.0], youngest_s=list(ages))
 
+    def asked(job: Job, *ages: float) -> bool:
+        return scheduler.may_yield(job, scheduler.stoppable_ranks(world, job), room(*ages))
+
     urgent = job(world, "j-000001", 0.0, rank="urgent")
-    assert scheduler.may_yield(world, urgent, room(-1, 9, -1, -1))
-    assert not scheduler.may_yield(world, urgent, room(-1, -1, 9, 9))
-    assert not scheduler.may_yield(
-        world, job(world, "j-000002", 0.0, rank="urgent", cores=8.0), room(-1, 9, -1, -1)
-    )
+    assert asked(urgent, -1, 9, -1, -1)
+    assert not asked(urgent, -1, -1, 9, 9)
+    assert not asked(job(world, "j-000002", 0.0, rank="urgent", cores=8.0), -1, 9, -1, -1)
     # A guarantee may stop what another team runs beyond its own: equal rank, later any.
     urgent.guaranteed = True
-    assert scheduler.may_yield(world, urgent, room(-1, -1, 9, -1))
-    assert not scheduler.may_yield(world, urgent, room(-1, -1, -1, 9))
+    assert asked(urgent, -1, -1, 9, -1)
+    assert not asked(urgent, -1, -1, -1, 9)
     clock.at += 60.0
-    assert scheduler.may_yield(world, urgent, room(-1, -1, -1, 9))
+    assert asked(urgent, -1, -1, -1, 9)
 
 
 def test_starts_of_urgent_work_are_written_first_and_alone() -> None:
@@ -80,11 +86,47 @@
         shard.adopt(one)
     world.machines.put("vm-0")
     world.zones.put("a")
-    assert [d.job for d in writer._batch()] == [high]
+    assert [d.job for d in writer._batch()[0]] == [high]
     high.starts.clear()
     high.places[0] = Place(0, 1, 1, 0, 0)
     high.ends[0] = api.W_ERROR
-    assert [d.job for d in writer._batch()] == [high, low]
+    assert [d.job for d in writer._batch()[0]] == [high, low]
+
+
+def test_what_is_written_is_chosen_when_the_budget_has_room() -> None:
+    """Chosen before the wait for it, each start of a job was a write of its own, and replicas
+    waited behind what had been chosen first."""
+    clock = Clock()
+    world = make_world(clock)
+    limiter = Limiter(10.0, 1.0, clock.now)
+    limiter.level = 0.5
+    client = PlainClient(PlainState(random.Random(1)), 0.0)
+    client.writable = limiter.free  # type: ignore[method-assign]
+    client.state.apply({}, [put(records.shard_key(0), 1)])
+    shard = JobShard(world, 0, client.state.epoch, 9)
+    shard.loaded = True
+    writer = Writer(world, client, shard)  # type: ignore[arg-type]
+    low, high = job(world, "j-000001", 9.0), job(world, "j-000002", 0.0, rank="prod")
+    for one in (low, high):
+        one.starts[0] = Place(world.machines.put("vm-0"), 1, 1, 0, world.zones.put("a"))
+        one.versions[0] = 0
+    shard.adopt(low)
+
+    async def drive() -> tuple[bool, bool]:
+        waiting = await curio.spawn(writer.flush)
+        await curio.sleep(0)
+        free = not writer.lock.locked()
+        low.starts[1] = Place(0, 1, 1, 0, 0)
+        shard.adopt(high)
+        clock.at += 0.1
+        more = await waiting.join()
+        return free, more and await writer.flush()
+
+    assert curio.run(drive) == (True, True)
+    assert (list(high.places), list(low.places)) == ([0], [])
+    clock.at += 1.0
+    assert curio.run(writer.flush)
+    assert list(low.places) == [0, 1] and client.state.epoch == shard.token + 2
 
 
 def test_room_is_asked_for_where_the_least_work_is_lost() -> None:
--- a/tests/test_transport.py
+++ b/tests/test_transport.py
@@ -1,12 +1,14 @@
 """The pooled client against a server on loopback."""
 
 import curio
+import pytest
 from curio import socket
 
 from starlingdeck.coordination.node import Node
 from starlingdeck.coordination.peers import PeerDown
 from starlingdeck.protocol import peer_pb2 as pb
-from starlingdeck.transport.client import HttpClient
+from starlingdeck.storage.state import Conflict, StateClient, StateLimit, drop
+from starlingdeck.transport.client import HttpClient, Reply
 from starlingdeck.transport.frames import FrameLink
 from starlingdeck.transport.server import HttpServer, Request, Response
 from tests.build import Clock, make_world
@@ -62,3 +64,19 @@
         return ""
 
     assert curio.run(cut) == "the link to 1 ended"
+
+
+def test_a_failed_condition_is_told_from_no_answer() -> None:
+    """A 409 passed for a call of unknown fate: every job of the transaction was read anew, and
+    a submission that was known already got 503."""
+
+    class Http:
+        async def call(self, *args: object) -> Reply:
+            return Reply(409, b'{"failed":["a/b"],"epoch":431}', None)
+
+    clock = Clock()
+    limit = StateLimit(100.0, 100.0, 1, clock.now)
+    client = StateClient(Http(), "127.0.0.1:1", limit, clock.now)  # type: ignore[arg-type]
+    with pytest.raises(Conflict) as caught:
+        curio.run(client.txn, {"a/b": 3}, [drop("a/b")])
+    assert caught.value.failed == ["a/b"]
