What a machine shard knows of jobs without a trace is forgotten once a minute

Jobs, their shards and errors, deleted machines and the planner's waits were kept for as long as a shard was held. Names stay: an index that came to mean another job would break the pairing of reports and lists.

--- a/starlingdeck/coordination/machines.py
+++ b/starlingdeck/coordination/machines.py
@@ -27,6 +27,7 @@
 RIDE_S = 5.0  # a worker waits 4 s for the answer to its report
 SWEEP_S = 1.0  # how often every machine is reconciled, changed or not
 LOOK_S = 0.2  # how often silence is looked for
+PRUNE_S = 60.0  # how often what is known of jobs that left no trace here is forgotten
 
 
 class JobInfo(Struct):
@@ -135,6 +136,7 @@
         self.noticed: set[int] = set()
         self.blind: set[int] = set()  # shown while a task there was of a job not known yet
         self.sweep_at = 0.0
+        self.prune_at = world.now() + PRUNE_S
         self.look_at = 0.0
         self.shard_of: dict[int, int] = {}
         self.gone: set[int] = set()
@@ -611,6 +613,9 @@
         if now >= self.sweep_at:
             self.sweep_at = now + SWEEP_S
             self.due.update(self.machines)
+        if now >= self.prune_at:
+            self.prune_at = now + PRUNE_S
+            self.prune()
         due, self.due = self.due | self.kept, set()
         self.kept = set()
         for index in due:
@@ -634,6 +639,21 @@
         self.settled = dict(self.acks)
         return busy
 
+    def prune(self) -> None:
+        """Forget the jobs that no list names and no machine shows, and deleted machines that
+        no list names: they would stay for as long as the shard is held. A list or a request
+        for room that names a job says again what it is."""
+        named = {m for table in self.wants.values() for m in table}
+        keys = {k for table in self.wants.values() for here in table.values() for k in here}
+        for m in self.machines.values():
+            keys.update(m.tasks, m.launches, m.holds, m.evict, m.shed)
+            keys.update(key for key, _ in (*m.refused, *m.errors))
+        live = {split_key(key)[0] for key in keys}
+        self.jobs = {j: info for j, info in self.jobs.items() if j in live}
+        self.shard_of = {j: shard for j, shard in self.shard_of.items() if j in live}
+        self.job_errors = {j: found for j, found in self.job_errors.items() if j in live}
+        self.gone &= named
+
     def _show(self, machine: Machine) -> None:
         self.news.add(machine.index)
         self.changed = True
--- a/starlingdeck/coordination/planner.py
+++ b/starlingdeck/coordination/planner.py
@@ -117,6 +117,7 @@
             self.gifts.needs = {}
             return False
         self.rooms.news = False
+        self.preempt_at = {job: at for job, at in self.preempt_at.items() if at > now}
         everyone = [j for found in self.team_jobs.values() for j in found] + self.own_team_jobs()
         inside = scheduler.guaranteed_jobs(self.world, everyone)
         for writer in self.writers.values():
--- a/tests/test_machines.py
+++ b/tests/test_machines.py
@@ -1,7 +1,7 @@
 """The machine owner's part: reservations and preemption."""
 
 from starlingdeck.coordination.jobs import job_message, new_job
-from starlingdeck.coordination.machines import JobInfo, MachineShard, may_preempt
+from starlingdeck.coordination.machines import PRUNE_S, JobInfo, MachineShard, may_preempt
 from starlingdeck.protocol import api
 from starlingdeck.protocol import peer_pb2 as pb
 from tests.build import Clock, make_world, spec
@@ -77,3 +77,23 @@
         msg.spots.add(task=0, attempt=1, machine="vm-1")
         assert [g.evicting for g in machines.reserve(msg).given] == [True]
         assert list(machine.evict.values()) == [grace_s]
+
+
+def test_jobs_that_left_no_trace_are_forgotten() -> None:
+    """What was known of a job stayed for as long as the shard was held."""
+    clock = Clock()
+    machines = MachineShard(make_world(clock), 0, 3, 9, 0.0)
+    machines.take_report(api.Report("vm-1", "x", "small", "a", 1, 1, 3), True)
+    for number in range(50):
+        ask(machines, f"j-{number}", False, chores=1)
+        machines.machines[0].holds.clear()
+    tasks = [api.ReportTask("j-7/0", 1, "running")]
+    machines.take_report(api.Report("vm-1", "x", "small", "a", 1, 2, 3, tasks=tasks), True)
+    ask(machines, "j-8", False, chores=1)
+    machines.machines[0].holds[next(iter(machines.machines[0].holds))].until = clock.at + 100.0
+    machines.mark_deleted("vm-9")
+    clock.at += PRUNE_S
+    machines.reconcile()
+    names = machines.world.jobs
+    assert {names[index] for index in machines.jobs} == {"j-7", "j-8"}
+    assert not machines.gone
