Room beside the image is asked for only where something may be stopped, the cheapest first

Cause: a task whose fetch would outlast its aim asked one machine with the image for room, once and at random; most such machines had nothing that may be stopped, and the only try was lost.

--- a/starlingdeck/coordination/scheduler.py
+++ b/starlingdeck/coordination/scheduler.py
@@ -160,19 +160,15 @@
     return used
 
 
-def _beside_image(world: World, job: Job, chosen: Room, other: Room) -> bool:
-    """Whether `other` has the image and `chosen` would fetch it for longer than the aim allows.
+def _fetch_too_long(world: World, job: Job, chosen: Room) -> bool:
+    """Whether the image would come to `chosen` too late for the aim on waiting.
 
-    Only for classes with an aim on waiting, and only for work that may preempt at all.
+    Only for classes with such an aim, and only for work that may preempt at all.
     """
-    spec = job.spec
-    if spec.image not in other.images:
-        return False
     # A replica's fetch takes a third more at times, and the rest of a start its time too. An
     # array's tasks are many: each stop there costs more than a wait near the aim.
-    aim = wait_aim_s(world, job) * (0.6 if spec.service else 1.0)
-    large = fits(job.size, other.total)
-    return aim > 0 and large and chosen.fetch_s(spec.image, spec.image_gb) > aim
+    aim = wait_aim_s(world, job) * (0.6 if job.spec.service else 1.0)
+    return 0 < aim < chosen.fetch_s(job.spec.image, job.spec.image_gb)
 
 
 class Round:
@@ -234,6 +230,7 @@
             used[room.zone] = used.get(room.zone, 0) + 1
             picks.append(Pick(job, task, room, preempt))
 
+        asked: set[int] = set()
         for n, task in enumerate(tasks):
             zone_ok = zones_open(job, used)
             machine, until = job.promised.pop(task, (-1, 0.0))
@@ -255,12 +252,21 @@
                     missed += len(tasks) - n - 1
                     break
                 continue
-            if job.spec.rank >= 2 and task not in job.pushed and job.spec.image not in room.images:
-                beside = [r for r in fitting if able(r) and _beside_image(world, job, room, r)]
-                if beside:
-                    # Once per task: room made on a machine that has the image beats the fetch.
+            if job.spec.rank >= 2 and task not in job.pushed and _fetch_too_long(world, job, room):
+                # Once per task: room made on a machine that has the image beats the fetch. Asked
+                # at random, most such machines had nothing to stop, and the try was lost.
+                ranks = stoppable_ranks(world, job)
+                beside = [
+                    r
+                    for r in fitting
+                    if job.spec.image in r.images and able(r) and may_yield(job, ranks, r)
+                ]
+                fresh = [r for r in beside if r.index not in asked] or beside
+                if fresh:
                     job.pushed.add(task)
-                    pick(task, world.rng.choice(beside), True)
+                    chosen = cheapest_stops(job, fresh, now, world.rng)[0]
+                    asked.add(chosen.index)
+                    pick(task, chosen, True)
                     continue
             room.free = [f - s for f, s in zip(room.free, job.size, strict=True)]
             room.present.add((job.index, task))
--- a/starlingdeck/coordination/users.py
+++ b/starlingdeck/coordination/users.py
@@ -9,7 +9,7 @@
 from starlingdeck.coordination.membership import Membership
 from starlingdeck.coordination.peers import PeerDown, Peers
 from starlingdeck.coordination.shards import job_shard
-from starlingdeck.coordination.world import World, size_of
+from starlingdeck.coordination.world import World, fits, size_of, total_of
 from starlingdeck.coordination.writer import Writer
 from starlingdeck.protocol import api
 from starlingdeck.protocol import peer_pb2 as pb
@@ -47,7 +47,7 @@
             continue
         if spec.zone is not None and spec.zone not in kind.zones:
             continue
-        if all(s <= t for s, t in zip(size, (kind.cpus, kind.gpus, kind.memory_gb), strict=True)):
+        if fits(size, total_of(kind)):
             return ""
     return "a task fits no allowed machine type"
 
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -123,12 +123,18 @@
     job = new_job(world, spec(chores=1, rank="prod", image_gb=8.0), 0, 0)
     total = (16.0, 0.0, 64.0)
     kind = world.type_names.put("big")
-    full = Room(0, kind, 0, False, 0, total, [0.0, 0.0, 8.0], images={"img"})
+    full = Room(
+        0, kind, 0, False, 0, total, [0.0, 0.0, 8.0], images={"img"}, youngest_s=[-1, 5, -1, -1]
+    )
+    # Has the image too, and nothing that may be stopped.
+    stuck = Room(
+        2, kind, 0, False, 0, total, [0.0, 0.0, 8.0], images={"img"}, youngest_s=[-1, -1, -1, 5]
+    )
     empty = Room(1, kind, 0, False, 0, total, [16.0, 0.0, 64.0])
-    first, _ = scheduler.plan(world, [job], [full, empty], lambda j: 9, 9)
+    first, _ = scheduler.plan(world, [job], [stuck, full, empty], lambda j: 9, 9)
     assert [(p.room.index, p.preempt) for p in first] == [(0, True)]
     job.asking.clear()
-    again, _ = scheduler.plan(world, [job], [full, empty], lambda j: 9, 9)
+    again, _ = scheduler.plan(world, [job], [stuck, full, empty], lambda j: 9, 9)
     assert [(p.room.index, p.preempt) for p in again] == [(1, False)]
     calm = new_job(world, spec("j-2", chores=1, rank="normal", image_gb=8.0), 0, 0)
     picks, _ = scheduler.plan(world, [calm], [full, empty], lambda j: 9, 9)
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -4,6 +4,7 @@
 
 from starlingdeck.coordination.jobs import JobShard, new_job
 from starlingdeck.coordination.membership import Holder
+from starlingdeck.coordination.meters import Slices
 from starlingdeck.coordination.node import Node
 from starlingdeck.coordination.planner import STRETCH_S
 from starlingdeck.coordination.rooms import ASKED_S
@@ -96,3 +97,24 @@
     assert current is not picked and current.free[0] == 2.0
     rooms.answered(picked, (7, 0), False)
     assert current.free[0] == 4.0
+
+
+def test_slices_tell_how_long_each_kind_of_task_ran_at_a_stretch() -> None:
+    clock = Clock()
+    slices = Slices(clock.now)
+
+    async def plan() -> None:
+        for took_s in (0.5, 2.0):
+            clock.at += took_s
+            await curio.sleep(0)
+
+    async def main() -> None:
+        (await curio.current_task()).name = "main"
+        await (await curio.spawn(plan)).join()
+
+    curio.run(main, activations=[slices])
+    lines = {line.split(": ")[0]: line.split(": ")[1] for line in slices.lines()}
+    name = "ran " + plan.__qualname__
+    assert lines[name] == "3 times, 2.500 s, longest 2.000 s"
+    assert lines["ran main"].endswith("0.000 s, longest 0.000 s")
+    assert slices.lines() == []
