Membership is driven against a plain state service with leases, cuts, hangs, crashes and outages

One holder a shard, tokens that only rise, and every shard back with its own controller in the end. The loops' rounds are methods of their own for it.

--- a/starlingdeck/coordination/membership.py
+++ b/starlingdeck/coordination/membership.py
@@ -90,30 +90,33 @@
 
     async def renew_loop(self) -> None:
         while True:
-            sent = self.world.now()
-            try:
-                if not self.lease:
-                    lease = await self.state.lease(self.ttl)
-                    self.lease, self.renewed = lease, sent
-                    await self._announce()
-                else:
-                    await self.state.renew(self.lease)
-                    self.renewed = sent
-                if not self.reached:
-                    log.info("state lease renewed again")
-                self.reached = True
-            except LeaseLost:
-                log.info("our state lease ended")
-                self.lease = 0
-                await self._drop_all()
-                continue
-            except (StateError, Conflict) as fault:
-                if self.reached:
-                    log.info("state lease not renewed: %s", fault)
-                self.reached = False
-                await curio.sleep(0.2 + 0.2 * self.world.rng.random())
-                continue
-            await curio.sleep(self.ttl / 4)
+            await curio.sleep(await self.renew())
+
+    async def renew(self) -> float:
+        """Get or keep our state lease; how long until the next time."""
+        sent = self.world.now()
+        try:
+            if not self.lease:
+                lease = await self.state.lease(self.ttl)
+                self.lease, self.renewed = lease, sent
+                await self._announce()
+            else:
+                await self.state.renew(self.lease)
+                self.renewed = sent
+        except LeaseLost:
+            log.info("our state lease ended")
+            self.lease = 0
+            await self._drop_all()
+            return 0.0
+        except (StateError, Conflict) as fault:
+            if self.reached:
+                log.info("state lease not renewed: %s", fault)
+            self.reached = False
+            return 0.2 + 0.2 * self.world.rng.random()
+        if not self.reached:
+            log.info("state lease renewed again")
+        self.reached = True
+        return self.ttl / 4
 
     async def _announce(self) -> None:
         value = NodeValue(self.world.node, self.boot)
@@ -121,19 +124,24 @@
 
     async def watch_loop(self) -> None:
         while True:
-            try:
-                if not self.synced:
-                    await self._read_all()
-                events = await self.state.watch(records.CLUSTER, self.revision, WATCH_S)
-                for event in events.events:
-                    await self._event(event)
-                self.revision = max(self.revision, events.revision)
-            except TooOld:
-                self.synced = False
-            except StateError as fault:
-                log.debug("watch failed: %s", fault)
-                await curio.sleep(0.3 + 0.3 * self.world.rng.random())
-                self.synced = False
+            await curio.sleep(await self.watch())
+
+    async def watch(self) -> float:
+        """Learn what has changed in the cluster's keys; how long until the next time."""
+        try:
+            if not self.synced:
+                await self._read_all()
+            events = await self.state.watch(records.CLUSTER, self.revision, WATCH_S)
+            for event in events.events:
+                await self._event(event)
+            self.revision = max(self.revision, events.revision)
+        except TooOld:
+            self.synced = False
+        except StateError as fault:
+            log.debug("watch failed: %s", fault)
+            self.synced = False
+            return 0.3 + 0.3 * self.world.rng.random()
+        return 0.0
 
     async def _read_all(self) -> None:
         entries, revision = await self.state.read(records.CLUSTER)
@@ -194,15 +202,18 @@
     async def own_loop(self) -> None:
         while True:
             await curio.sleep(0.1)
-            if not (self.synced and self.lease and self.valid()):
-                continue
-            for shard in range(self.world.shards):
-                try:
-                    await self._consider(shard)
-                except (StateError, LeaseLost, Conflict) as fault:
-                    log.info("shard %d: %r", shard, fault)
-                    self.synced = False
-                    await curio.sleep(0.1)
+            await self.own()
+
+    async def own(self) -> None:
+        """Take what nobody holds, and hand back what is another's."""
+        if not (self.synced and self.lease and self.valid()):
+            return
+        for shard in range(self.world.shards):
+            try:
+                await self._consider(shard)
+            except (StateError, LeaseLost, Conflict) as fault:
+                log.info("shard %d: %r", shard, fault)
+                self.synced = False
 
     async def _consider(self, shard: int) -> None:
         now, me = self.world.now(), self.world.node
--- /dev/null
+++ b/tests/test_membership.py
@@ -0,0 +1,219 @@
+"""Who holds what, driven against a plain state service with leases, cuts and crashes."""
+
+import contextlib
+import random
+
+import curio
+import msgspec
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from starlingdeck.coordination.membership import Hooks, Membership
+from starlingdeck.protocol import api
+from starlingdeck.storage.state import Conflict, LeaseLost, StateError, StateUnknown
+from tests.build import Clock, make_world
+from tests.model import PlainState
+
+NODES = 3
+TICK_S = 0.2
+
+
+class LeasedState(PlainState):
+    """Keys that hang on leases, and a history to watch."""
+
+    def __init__(self, clock: Clock) -> None:
+        super().__init__(random.Random(1))
+        self.clock = clock
+        self.leases: dict[int, float] = {}  # lease -> when it ends
+        self.ttl: dict[int, float] = {}
+        self.attached: dict[str, int] = {}
+        self.history: list[api.Event] = []
+        self.down = False
+
+    def expire(self) -> None:
+        if self.down:
+            return  # after an outage every lease has its full time again
+        for lease in [i for i, at in self.leases.items() if at <= self.clock.at]:
+            del self.leases[lease]
+            gone = [key for key, held in self.attached.items() if held == lease]
+            if gone:
+                self.change([api.Change(delete=key) for key in gone], {})
+
+    def change(self, changes: list[api.Change], conditions: dict[str, int]) -> list[str]:
+        failed = self.apply(conditions, changes)
+        for change in changes if not failed else []:
+            key = change.put or change.delete or ""
+            self.attached.pop(key, None)
+            if change.put is None:
+                self.history.append(api.Event(self.epoch, delete=key))
+                continue
+            value = msgspec.Raw(msgspec.json.encode(change.value))
+            self.history.append(api.Event(self.epoch, key, value))
+            if change.lease is not None:
+                self.attached[key] = change.lease
+        return failed
+
+
+class LeasedClient:
+    """One node's calls; while it is cut, or the service is down, none is executed."""
+
+    def __init__(self, state: LeasedState) -> None:
+        self.state = state
+        self.cut = False
+        self.mute = False  # calls are executed, but no answer comes
+
+    def _call(self) -> LeasedState:
+        if self.cut or self.state.down:
+            raise StateError("503")
+        self.state.expire()
+        return self.state
+
+    def _answer(self) -> None:
+        if self.mute:
+            raise StateUnknown("no answer")
+
+    async def lease(self, ttl_s: float) -> int:
+        state = self._call()
+        number = len(state.ttl) + 1
+        state.ttl[number], state.leases[number] = ttl_s, state.clock.at + ttl_s
+        self._answer()
+        return number
+
+    async def renew(self, lease: int) -> None:
+        state = self._call()
+        if lease not in state.leases:
+            raise LeaseLost
+        state.leases[lease] = state.clock.at + state.ttl[lease]
+        self._answer()
+
+    async def txn(
+        self, conditions: dict[str, int], changes: list[api.Change], urgent: bool = False
+    ) -> int:
+        state = self._call()
+        if any(c.lease is not None and c.lease not in state.leases for c in changes):
+            raise LeaseLost
+        failed = state.change(changes, conditions)
+        self._answer()
+        if failed:
+            raise Conflict(failed)
+        return state.epoch
+
+    async def read(self, prefix: str) -> tuple[list[api.Entry], int]:
+        state = self._call()
+        self._answer()
+        found = [
+            api.Entry(key, msgspec.Raw(value), stamp)
+            for key, (value, stamp) in sorted(state.keys.items())
+            if key.startswith(prefix)
+        ]
+        return found, state.epoch
+
+    async def watch(self, prefix: str, after: int, wait_s: float) -> api.Events:
+        state = self._call()
+        self._answer()
+        return api.Events([e for e in state.history if e.version > after], state.epoch)
+
+
+class Cluster:
+    def __init__(self) -> None:
+        self.clock = Clock()
+        self.state = LeasedState(self.clock)
+        self.clients = [LeasedClient(self.state) for _ in range(NODES)]
+        self.nodes = [self.start(i) for i in range(NODES)]
+        self.stalled: set[int] = set()
+        self.tokens: dict[int, tuple[int, int, int]] = {}  # shard -> token, node, gen
+
+    def start(self, number: int) -> Membership:
+        world = make_world(self.clock, seed=self.clock.wall_ms() + number, node=number)
+
+        async def gained(shard: int, token: int, gen: int, wait_s: float) -> None:
+            pass
+
+        async def lost(shard: int) -> None:
+            pass
+
+        async def raised(shard: int, token: int) -> None:
+            pass
+
+        async def key(event: api.Event) -> None:
+            pass
+
+        hooks = Hooks(gained, lost, raised, key, lambda shard: True)
+        return Membership(world, self.clients[number], hooks)  # type: ignore[arg-type]
+
+    async def act(self, verb: str, number: int) -> None:
+        node, client = self.nodes[number], self.clients[number]
+        if verb == "stall":
+            self.stalled ^= {number}
+        elif verb == "cut":
+            client.cut = not client.cut
+        elif verb == "mute":
+            client.mute = not client.mute
+        elif verb == "crash":
+            self.nodes[number] = self.start(number)
+        elif verb == "outage":
+            self.state.expire()
+            self.state.down = not self.state.down
+            if not self.state.down:
+                for lease in self.state.leases:
+                    self.state.leases[lease] = self.clock.at + self.state.ttl[lease]
+        elif verb == "raise":
+            for shard in list(node.held):
+                with contextlib.suppress(StateError, Conflict, LeaseLost):
+                    await node.raise_token(shard)
+        self.check()
+
+    async def run(self, seconds: float) -> None:
+        """Every node that doesn't hang goes round its loops, in another order each time."""
+        for _ in range(int(seconds / TICK_S)):
+            self.clock.at += TICK_S
+            self.check()
+            for number in self.state.rng.sample(range(NODES), NODES):
+                if number not in self.stalled:
+                    node = self.nodes[number]
+                    for loop in (node.renew, node.watch, node.own):
+                        await loop()
+                        self.check()
+
+    def check(self) -> None:
+        """A shard is held by one node at most, and every new hold has a higher token."""
+        for shard in range(NODES):
+            holders = [n for n in self.nodes if n.valid() and shard in n.held]
+            assert len(holders) <= 1, f"shard {shard} is held twice"
+            for node in holders:
+                held = node.held[shard]
+                token, number, gen = self.tokens.get(shard, (0, -1, -1))
+                assert held.token >= token, f"shard {shard}: its token fell"
+                if (held.node, held.gen) != (number, gen):
+                    assert held.token > token, f"shard {shard}: a new hold under an old token"
+                self.tokens[shard] = (held.token, held.node, held.gen)
+
+    async def settle(self) -> None:
+        for client in self.clients:
+            client.cut = client.mute = False
+        if self.state.down:
+            await self.act("outage", 0)
+        self.stalled.clear()
+        await self.run(25.0)
+
+
+STEPS = st.tuples(
+    st.sampled_from(["stall", "stall", "cut", "cut", "mute", "crash", "outage", "raise"]),
+    st.integers(0, NODES - 1),
+    st.sampled_from([0.0, 0.2, 1.0, 3.0, 6.0]),
+)
+
+
+@settings(derandomize=True, max_examples=60, deadline=None)
+@given(st.lists(STEPS, min_size=4, max_size=16))
+def test_a_shard_has_one_holder_and_ends_with_its_own(steps: list[tuple[str, int, float]]) -> None:
+    async def drive() -> list[list[int]]:
+        cluster = Cluster()
+        await cluster.run(2.0)
+        for verb, number, seconds in steps:
+            await cluster.act(verb, number)
+            await cluster.run(seconds)
+        await cluster.settle()
+        return [sorted(node.held) for node in cluster.nodes]
+
+    assert curio.run(drive) == [[0], [1], [2]]
