A submission is recorded by us when its holder is refused by the state service

The holder's 503 went to the user, who came back a second later, for as long as the holder's lease lasted. Only our own failure sends the user away now. Unknown fates stay harmless: the record is created only where none is.

--- a/starlingdeck/coordination/users.py
+++ b/starlingdeck/coordination/users.py
@@ -135,9 +135,10 @@
                 ask = pb.Envelope(forward=pb.Forward(method=method, path=name, body=body))
                 try:
                     reply = await self.peers.call(holder.node, ask, 1.0)
-                    if reply.forwarded.status != 421:
-                        status = reply.forwarded.status
-                        again = LATER if status in (429, 503) else ()
+                    status = reply.forwarded.status
+                    # Not the holder any more, or one that can't reach the state service: we may.
+                    if status not in (421, 503):
+                        again = LATER if status == 429 else ()
                         return Response(status, reply.forwarded.body, again)
                 except PeerDown:
                     pass
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -170,6 +170,34 @@
     assert refused.status == 503 and dict(refused.headers)["retry-after"]
 
 
+def test_a_submission_is_kept_by_us_when_the_holder_is_refused_by_the_state_service() -> None:
+    """Its 503 was passed on to the user, though we could have recorded the job ourselves."""
+    clock = Clock()
+    state = PlainState(random.Random(1))
+    ours, theirs = Node(make_world(clock)), Node(make_world(clock, node=1))
+    for node in (ours, theirs):
+        node.users.state = PlainClient(state, 0.0)  # type: ignore[assignment]
+        node.membership.lease, node.membership.renewed = 1, clock.at
+    theirs.users.state.cut = True  # type: ignore[attr-defined]
+    shard = job_shard("j-000001", 3)
+    jobs = JobShard(theirs.world, shard, 5, 77)
+    jobs.loaded = True
+    theirs.writers[shard] = Writer(theirs.world, theirs.users.state, jobs)
+    ours.membership.holders[shard] = Holder(1, 5, 77)
+    ours.peers.links[1] = FrameLink(None)
+    ours.peers.heard[1] = clock.at
+
+    async def call(node: int, envelope: pb.Envelope, timeout_s: float) -> pb.Envelope:
+        reply = await theirs.on_message(envelope)
+        assert reply is not None
+        return reply
+
+    ours.peers.call = call  # type: ignore[method-assign]
+    body = msgspec.json.encode(job_body("j-000001"))
+    assert curio.run(ours.serve, Request("POST", api.JOBS, body)).status == 201
+    assert records.inbox_key(shard, "j-000001") in state.keys
+
+
 def test_the_living_share_the_budgets() -> None:
     """One controller alone had the work of three, and a third of the calls."""
     limit = StateLimit(200.0, 60.0, 3, Clock().now)
