A job's starts are written together; urgent ones don't wait behind a wait for the budget

The first start waits up to 50 ms for those still being asked for; while the budget has no room it is looked every 50 ms whether something urgent came.

--- a/starlingdeck/coordination/writer.py
+++ b/starlingdeck/coordination/writer.py
@@ -16,6 +16,8 @@
 
 TXN_BYTES = 56 * 1024
 URGENT = 2  # ranks from here on start as urgently as a submission is taken
+TOGETHER_S = 0.05  # (start) how long a job's first start waits for those still being asked for
+LOOK_S = 0.05  # while the budget has no room: how soon it is looked whether something urgent came
 
 
 class Writer:
@@ -106,7 +108,7 @@
             if batch:
                 return await self._write(batch, pressing(batch[0]))
         if wait_s > 0:
-            await curio.sleep(wait_s)
+            await curio.sleep(min(wait_s, LOOK_S))
         return wait_s > 0
 
     async def cancel(self, job: Job) -> None:
@@ -133,7 +135,11 @@
             (self.shard.jobs[i] for i in self.shard.dirty if i in self.shard.jobs),
             key=lambda j: (not (j.starts and j.spec.rank >= URGENT), -j.spec.rank, j.at_ms),
         )
+        now = self.world.now()
         for job in ready:
+            if job.asking and not job.ends and now - first_start(job) < TOGETHER_S:
+                # Its other machines' owners answer within milliseconds: one write for all.
+                continue
             draft = self.shard.draft(job)
             if draft is None:
                 self.shard.dirty.discard(job.index)
@@ -183,6 +189,11 @@
         return True
 
 
+def first_start(job: Job) -> float:
+    """When the first of the starts to be recorded was given; long ago when there are none."""
+    return min((place.since for place in job.starts.values()), default=-1e9)
+
+
 def pressing(draft: Draft) -> bool:
     """Whether somebody waits for this to start.
 
--- a/tests/test_order.py
+++ b/tests/test_order.py
@@ -8,7 +8,7 @@
 from starlingdeck.coordination.jobs import Job, JobShard, Place, new_job
 from starlingdeck.coordination.placement import Room
 from starlingdeck.coordination.world import World
-from starlingdeck.coordination.writer import Writer
+from starlingdeck.coordination.writer import TOGETHER_S, Writer
 from starlingdeck.protocol import api
 from starlingdeck.storage import records
 from starlingdeck.storage.limiter import Limiter
@@ -129,6 +129,27 @@
     assert list(low.places) == [0, 1] and client.state.epoch == shard.token + 2
 
 
+def test_starts_that_are_still_being_asked_for_are_written_with_the_first() -> None:
+    """Each owner's answer was a write of its own, two or three a service, and in a day's first
+    seconds the changes a second are what starts wait for."""
+    clock = Clock()
+    world = make_world(clock)
+    shard = JobShard(world, 0, 3, 9)
+    writer = Writer(world, PlainClient(PlainState(random.Random(1)), 0.0), shard)  # type: ignore[arg-type]
+    service = job(world, "j-000001", 0.0, shape="daemon", rank="prod")
+    service.versions[0] = 1
+    service.starts[0] = Place(world.machines.put("vm-0"), 1, 1, 0, 0, since=clock.at)
+    world.zones.put("a")
+    service.asking[1] = 0
+    shard.adopt(service)
+    assert writer._batch()[0] == []
+    clock.at += 2 * TOGETHER_S
+    assert [list(d.starts) for d in writer._batch()[0]] == [[0]]
+    service.starts[1] = Place(0, 1, 1, 0, 0, since=clock.at)
+    del service.asking[1]
+    assert [list(d.starts) for d in writer._batch()[0]] == [[0, 1]]
+
+
 def test_room_is_asked_for_where_the_least_work_is_lost() -> None:
     """Machines asked at random gave up work that had run for half its time."""
     world = make_world(Clock())
