--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -134,20 +134,17 @@
     assert node.world.outage_s + s.lease_s < s.cancel_s - 3
 
 
-def test_a_submission_goes_through_a_peer_when_the_state_service_refuses_only_us() -> None:
-    """The holder of the job's shard answered 503 until its own lease was over."""
-    clock = Clock()
-    state = PlainState(random.Random(1))
+def linked_nodes(clock: Clock, state: PlainState, holder: int) -> tuple[Node, Node]:
+    """Two nodes with a lease each; the first reaches the second, and `holder` of the two holds
+    the shard of j-000001."""
     ours, theirs = Node(make_world(clock)), Node(make_world(clock, node=1))
     for node in (ours, theirs):
-        client = PlainClient(state, 0.0)
-        node.users.state = client  # type: ignore[assignment]
+        node.users.state = PlainClient(state, 0.0)  # type: ignore[assignment]
         node.membership.lease, node.membership.renewed = 1, clock.at
-    ours.users.state.cut = True  # type: ignore[attr-defined]
-    shard = job_shard("j-000001", 3)
-    jobs = JobShard(ours.world, shard, 5, 77)
+    shard, node = job_shard("j-000001", 3), (ours, theirs)[holder]
+    jobs = JobShard(node.world, shard, 5, 77)
     jobs.loaded = True
-    ours.writers[shard] = Writer(ours.world, ours.users.state, jobs)
+    node.writers[shard] = Writer(node.world, node.users.state, jobs)
     ours.peers.links[1] = FrameLink(None)
     ours.peers.heard[1] = clock.at
 
@@ -157,6 +154,15 @@
         return reply
 
     ours.peers.call = call  # type: ignore[method-assign]
+    return ours, theirs
+
+
+def test_a_submission_goes_through_a_peer_when_the_state_service_refuses_only_us() -> None:
+    """The holder of the job's shard answered 503 until its own lease was over."""
+    state = PlainState(random.Random(1))
+    ours, theirs = linked_nodes(Clock(), state, 0)
+    ours.users.state.cut = True  # type: ignore[attr-defined]
+    shard = job_shard("j-000001", 3)
     body = msgspec.json.encode(job_body("j-000001"))
     assert curio.run(ours.serve, Request("POST", api.JOBS, body)).status == 201
     assert {k for k in state.keys if "j-000001" in k} == {
@@ -172,27 +178,11 @@
 
 def test_a_submission_is_kept_by_us_when_the_holder_is_refused_by_the_state_service() -> None:
     """Its 503 was passed on to the user, though we could have recorded the job ourselves."""
-    clock = Clock()
     state = PlainState(random.Random(1))
-    ours, theirs = Node(make_world(clock)), Node(make_world(clock, node=1))
-    for node in (ours, theirs):
-        node.users.state = PlainClient(state, 0.0)  # type: ignore[assignment]
-        node.membership.lease, node.membership.renewed = 1, clock.at
+    ours, theirs = linked_nodes(Clock(), state, 1)
     theirs.users.state.cut = True  # type: ignore[attr-defined]
     shard = job_shard("j-000001", 3)
-    jobs = JobShard(theirs.world, shard, 5, 77)
-    jobs.loaded = True
-    theirs.writers[shard] = Writer(theirs.world, theirs.users.state, jobs)
     ours.membership.holders[shard] = Holder(1, 5, 77)
-    ours.peers.links[1] = FrameLink(None)
-    ours.peers.heard[1] = clock.at
-
-    async def call(node: int, envelope: pb.Envelope, timeout_s: float) -> pb.Envelope:
-        reply = await theirs.on_message(envelope)
-        assert reply is not None
-        return reply
-
-    ours.peers.call = call  # type: ignore[method-assign]
     body = msgspec.json.encode(job_body("j-000001"))
     assert curio.run(ours.serve, Request("POST", api.JOBS, body)).status == 201
     assert records.inbox_key(shard, "j-000001") in state.keys
