A view leaves no machine out; nobody is told what a job's holder doesn't know yet

A machine made due again between reconciling and showing was left out of the view that said its list was applied; its last showing passed for a refusal and the task, whose start was under way, was started elsewhere. A cancellation made for a holder was told before the holder had read its note: notes that came while a shard was being read were passed over, a rewritten one was dropped unread, and a holder answered from memory before its watch had brought one; the same with a final state whose write got no answer. (3) In the plain model: a former job holder's list was taken by a new machine holder. Change: due machines are shown as not fenced; machines back from a cut are drawn when they have answered a call; only a valid holder sends lists; who cancels alone answers when the note is taken or the hold is over; jobs with an end or cancellation on its way are answered from the state service.

--- a/starlingdeck/coordination/jobs.py
+++ b/starlingdeck/coordination/jobs.py
@@ -69,6 +69,7 @@
     hold_until: float = 0.0
     finished: int = 0
     stale: bool = False
+    unsure: bool = False  # a write that ends or cancels it was sent: the record may say more
     first_pending: int = 0
     guaranteed: bool = False
 
@@ -314,6 +315,7 @@
             current
             and sight.valid
             and machine.fenced
+            and machine.session == place.session
             and place.listed_gen == sight.gen
             and 0 < place.listed <= out.acked
         ):
@@ -474,6 +476,8 @@
             return
         for number in draft.chunks:
             job.versions[number] = revision
+        if 0 in draft.chunks:
+            job.unsure = False  # what was sent before can't be executed any more
         if draft.cancel:
             job.cancelled = True
             job.starts.clear()
--- a/starlingdeck/coordination/machines.py
+++ b/starlingdeck/coordination/machines.py
@@ -90,6 +90,8 @@
     token: int
     heard: float
     answered: float
+    # When it was first heard (again), until something proves that its word is not an old one.
+    back: float | None
     first: float
     notice_until: float | None = None
     tasks: dict[int, Seen] = field(default_factory=dict)
@@ -122,6 +124,9 @@
         self.gen = gen
         # Until then another node may have been renewing the leases of our silent workers.
         self.quiet_until = world.now() + wait_s + world.silence_s
+        report_s = world.settings.settings.workers.report_s
+        self.fresh_s = 2.5 * report_s + 0.5
+        self.settled_s = report_s / 2  # what was held comes at once when a cut ends
         self.machines: dict[int, Machine] = {}
         self.jobs: dict[int, JobInfo] = {}
         self.wants: dict[int, dict[int, dict[int, Want]]] = {}
@@ -246,11 +251,14 @@
                 now,
                 now,
                 now,
+                now,
                 empty_since=now,
             )
             log.info("machine %s: first report, session %d", report.machine, report.session)
         if renews:
             machine.answered = now
+        else:
+            self._proven(machine)
         if (report.session, report.seq) <= (machine.session, machine.seq):
             return machine
         before = (machine.dead, machine.session, machine.notice_until is None)
@@ -263,6 +271,10 @@
             if machine.session:
                 log.info("machine %s: session %d began", machine.name, report.session)
         machine.session, machine.seq = report.session, report.seq
+        if renews and now - machine.heard > self.fresh_s:
+            machine.back = now
+        elif machine.back is not None and now - machine.back > self.settled_s:
+            self._proven(machine)
         machine.heard = now
         machine.dead = False
         was_fenced = machine.token >= self.base
@@ -284,6 +296,11 @@
             self.touch(index)
         return machine
 
+    def _proven(self, machine: Machine) -> None:
+        if machine.back is not None:
+            machine.back = None
+            self.touch(machine.index)
+
     def _take_tasks(self, machine: Machine, report: api.Report, now: float) -> bool:
         world = self.world
         seen: dict[int, Seen] = {}
@@ -465,12 +482,15 @@
         return left
 
     def drawable(self, machine: Machine) -> bool:
-        fresh = 2.5 * self.world.settings.settings.workers.report_s + 0.5
+        """A machine back from a cut is first heard by reports that were held: work drawn to it
+        in a session long over was placed, freed by the next report and placed again. So it
+        must have answered a call first, or gone on reporting for a while."""
         return (
             not machine.dead
             and not machine.draining
+            and machine.back is None
             and machine.token >= self.base
-            and self.world.now() - machine.heard < fresh
+            and self.world.now() - machine.heard < self.fresh_s
         )
 
     def reserve(self, msg: pb.Reserve) -> pb.Reserved:
@@ -632,9 +652,10 @@
                 key in machine.evict and s.state in (api.FETCHING, api.ON)
                 for key, s in machine.tasks.items()
             )
-            if stops or machine.launches or machine.holds:
+            ask = stops or bool(machine.launches) or machine.back is not None
+            if ask or machine.holds:
                 self.kept.add(index)
-            if (stops or machine.launches) and not machine.busy and machine.retry_at <= now:
+            if ask and not machine.busy and machine.retry_at <= now:
                 busy.append(machine)
         self.settled = dict(self.acks)
         return busy
@@ -741,11 +762,8 @@
         machine.unheard_do += 1
         machine.retry_at = self.world.now() + min(0.5 * machine.unheard_do, 3.0)
 
-    def refused_orders(self, machine: Machine, orders: api.Commands) -> None:
-        """409: nothing was executed. Launches of an older session are over."""
-        if orders.session != machine.session:
-            machine.launches.clear()
-            self.touch(machine.index)
+    def refused_orders(self, machine: Machine) -> None:
+        """409: nothing was executed."""
         machine.retry_at = self.world.now() + 0.3
 
     def needs_new_token(self) -> bool:
@@ -758,10 +776,14 @@
     # --- the view
 
     def view(self, valid: bool) -> pb.View:
-        """What has changed since the last view; a machine still due waits for the next."""
+        """What has changed since the last view.
+
+        A machine that is due again since its lists were reconciled is shown as not fenced, and
+        once more later: left out, its last showing would stand beside the news that the lists
+        are applied, and a start under way would pass for refused.
+        """
         self.seq += 1
-        shown = self.news - self.due
-        self.news -= shown
+        shown, self.news = self.news, self.news & self.due
         removed, self.removed = self.removed, set()
         self.changed = bool(self.news)
         out = self._frame(valid)
@@ -774,7 +796,6 @@
         out = self._frame(valid)
         out.whole = True
         self._entries(out, self.machines)
-        # What is due is shown as not fenced for now, and once more when it is reconciled.
         self.news |= self.due
         self.changed |= bool(self.due)
         return out
--- a/starlingdeck/coordination/node.py
+++ b/starlingdeck/coordination/node.py
@@ -209,8 +209,10 @@
                 # The former holder may have passed on quota that our watch hasn't shown yet.
                 for entry in (await self.state.read(records.QUOTA))[0]:
                     self.gifts.learn(entry.key, entry.value, entry.version)
+                notes = (await self.state.read(records.inbox_key(shard, "")))[0]
                 await writer.load()
                 self.exchange.judge_all(writer.shard)
+                await self._clear_inbox(writer, notes)
             except (StateError, msgspec.DecodeError) as why:
                 log.info("shard %d not read: %s", shard, why)
                 await curio.sleep(0.2 + 0.2 * self.world.rng.random())
@@ -250,7 +252,7 @@
             shard, _, name = key[len(records.INBOX) :].partition("/")
             writer = self.writers.get(int(shard))
             if writer is not None and writer.shard.loaded:
-                await curio.spawn(self._inbox, writer, name, key, daemon=True)
+                await curio.spawn(self._inbox, writer, name, key, event.version, daemon=True)
         elif key.startswith(records.QUOTA):
             self.gifts.learn(key, event.value, event.version)
         elif (
@@ -260,13 +262,36 @@
         ):
             await self.wake.set()
 
-    async def _inbox(self, writer: Writer, name: str, key: str) -> None:
+    async def _clear_inbox(self, writer: Writer, before: list[api.Entry]) -> None:
+        """Drop the notes that were there before the shard was read; act on newer ones, which our
+        watch passed over while it wasn't."""
+        shard = writer.shard.shard
+        known = {e.key: e.version for e in before}
+        most = self.world.settings.settings.state.txn_ops
+        try:
+            prefix = records.inbox_key(shard, "")
+            found = {e.key: e.version for e in (await self.state.read(prefix))[0]}
+            old = [key for key, version in found.items() if known.get(key) == version]
+            for key in found.keys() - set(old):
+                await self._inbox(writer, key[len(prefix) :], key, found[key])
+            for first in range(0, len(old), most):
+                part = old[first : first + most]
+                await self.state.txn({k: found[k] for k in part}, [drop_key(k) for k in part])
+        except (StateError, Conflict) as why:
+            log.info("shard %d: notes not cleared: %s", shard, why)
+            self.membership.synced = False
+
+    async def _inbox(self, writer: Writer, name: str, key: str, version: int) -> None:
         """Another node created or cancelled one of our jobs."""
         try:
             async with writer.lock:
-                await writer.reload(name)
-            await self.state.txn({}, [drop_key(key)])
-        except (StateError, Conflict, msgspec.DecodeError) as why:
+                job = await writer.reload(name)
+            # Who cancelled waits for this. A note written anew meanwhile is another one.
+            urgent = job is None or job.cancelled
+            await self.state.txn({key: version}, [drop_key(key)], urgent)
+        except Conflict:
+            pass
+        except (StateError, msgspec.DecodeError) as why:
             log.info("job %s: not read again: %s", name, why)
             self.membership.synced = False
         await self.wake.set()
@@ -323,7 +348,7 @@
             for machine in machines.reconcile():
                 machine.busy = True
                 orders = machines.orders(machine, valid)
-                if orders.commands:
+                if orders.commands or machine.back is not None:
                     await curio.spawn(
                         self._do, machines, machine, machine.address, orders, daemon=True
                     )
@@ -337,8 +362,10 @@
         if await self.exchange.share(valid, now):
             await self.flush.set()
         self.exchange.drop_old(now)
-        await self.exchange.send_wants(now)
         if valid:
+            # A former holder's list, the first to reach a new machine holder, started a task again
+            # that was long cancelled there: only who surely holds the shard says what it wants.
+            await self.exchange.send_wants(now)
             for node, text in self.exchange.detour(now, self.hello):
                 await curio.spawn(self.exchange.put_detour, node, text, daemon=True)
         if any(w.shard.dirty for w in self.writers.values()):
@@ -360,7 +387,7 @@
             taken = machines.take_report(report, False)
             taken.unheard_do = 0
             if reply.status == 409:
-                machines.refused_orders(taken, orders)
+                machines.refused_orders(taken)
             elif reply.status != 200:
                 raise NoAnswer(f"status {reply.status}")
             elif taken.launches:
--- a/starlingdeck/coordination/users.py
+++ b/starlingdeck/coordination/users.py
@@ -3,6 +3,7 @@
 import logging
 from collections.abc import Callable
 
+import curio
 import msgspec
 
 from starlingdeck.coordination.jobs import JobShard, new_job
@@ -15,7 +16,7 @@
 from starlingdeck.protocol import peer_pb2 as pb
 from starlingdeck.protocol.api import JobSpec
 from starlingdeck.storage import records
-from starlingdeck.storage.records import FinalRecord, JobRecord
+from starlingdeck.storage.records import FinalRecord, JobRecord, ShardValue
 from starlingdeck.storage.state import Conflict, StateClient, StateError, StateUnknown, put
 from starlingdeck.transport.server import Request, Response
 
@@ -23,6 +24,9 @@
 
 LATER = (("retry-after", "1"),)
 FINALS_KEPT = 5000
+HEARD_S = 0.8  # how long a cancellation made for a holder waits until that has taken it
+HEARD_LOOK_S = 0.1
+UNHEARD = "the job's holder has not heard of its cancellation yet"
 
 
 def answer(status: int, body: object) -> Response:
@@ -113,7 +117,7 @@
         if reason:
             # A job that was accepted before is known, whatever the types are now.
             known = await self._look(spec.id)
-            return known if known is not None and known.status == 200 else fault(422, reason)
+            return known or fault(422, reason)
         return await self._pass_on(body, spec.id, "SUBMIT")
 
     async def _pass_on(self, body: bytes, name: str, method: str) -> Response:
@@ -199,11 +203,13 @@
             await writer.cancel(job)
             self.kick()
             job = shard.jobs.get(job.index)
+        if job is not None and method == "POST":
+            return answer(200, api.JobStatus(name, api.CANCELLED))
+        if job is not None and (job.unsure or job.stale):
+            # Another node may have read and told more than we know of it.
+            return await self._look(name, True) or fault(503, "the job is changing")
         if job is not None:
-            status = shard.status(job)
-            if method == "POST":
-                status = api.JobStatus(name, api.CANCELLED)
-            return answer(200, status)
+            return answer(200, shard.status(job))
         if name in shard.finals:
             state = shard.finals[name]
             return answer(200, final_status(name, state, shard.final_tasks.get(name, 0)))
@@ -250,15 +256,16 @@
 
     # --- without the holder
 
-    async def _look(self, name: str) -> Response | None:
+    async def _look(self, name: str, holder: bool = False) -> Response | None:
         """From the state service. The unfinished key first: a job moves from there only."""
         shard = job_shard(name, self.world.shards)
         entry = await self.state.get(records.job_key(shard, name), True)
         if entry is not None:
-            job = msgspec.json.decode(entry.value, type=JobRecord)
-            running = len(job.chunk.on)
-            done = len(records.unpack_done(job.chunk.done))
-            state = api.CANCELLED if job.cancelled else api.RUNNING if running else api.QUEUED
+            record = msgspec.json.decode(entry.value, type=JobRecord)
+            if record.cancelled and not holder and not await self._taken(shard, name):
+                return fault(503, UNHEARD)
+            running, done = len(record.chunk.on), len(records.unpack_done(record.chunk.done))
+            state = api.CANCELLED if record.cancelled else api.RUNNING if running else api.QUEUED
             return answer(200, api.JobStatus(name, state, done, running))
         entry = await self.state.get(records.final_key(shard, name), True)
         if entry is not None:
@@ -279,11 +286,8 @@
                 return answer(201, api.JobStatus(name, api.QUEUED))
             except Conflict:
                 return await self._look(name) or fault(503, "the job is changing")
-        known = await self._look(name)
-        if known is None:
-            return fault(404, "no such job")
         if method == "GET":
-            return known
+            return await self._look(name) or fault(404, "no such job")
         return await self._cancel_alone(name, shard)
 
     async def _cancel_alone(self, name: str, shard: int) -> Response:
@@ -300,8 +304,31 @@
             except Conflict:
                 return fault(503, "the job is changing")
             log.info("job %s: cancelled for shard %d", name, shard)
+        # From here on the job stays cancelled, but nobody may be told before its holder knows.
+        if not await self._taken(shard, name):
+            return fault(503, UNHEARD)
         return answer(200, api.JobStatus(name, api.CANCELLED))
 
+    async def _taken(self, shard: int, name: str) -> bool:
+        """Whether no holder can answer any more from before what we wrote for it: it took our
+        note, or holds the shard no longer; a later holder reads the record first.
+
+        A holder that had just come through an outage answered that a job was running which
+        another node had told its user was cancelled.
+        """
+        until, first = self.world.now() + HEARD_S, None
+        while True:
+            if await self.state.get(records.inbox_key(shard, name), True) is None:
+                return True
+            entry = await self.state.get(records.shard_key(shard), True)
+            gen = msgspec.json.decode(entry.value, type=ShardValue).gen if entry else None
+            if gen is None or (first is not None and gen != first):
+                return True
+            if self.world.now() >= until:
+                return False
+            first = gen
+            await curio.sleep(HEARD_LOOK_S)
+
 
 def final_status(name: str, state: str, tasks: int) -> api.JobStatus:
     return api.JobStatus(name, state, tasks if state == api.DONE else 0, 0)
--- a/starlingdeck/coordination/writer.py
+++ b/starlingdeck/coordination/writer.py
@@ -64,6 +64,7 @@
             job.failed_on, job.errors = old.failed_on, old.errors
             job.hold_until, job.avoid = old.hold_until, old.avoid
             job.guaranteed = old.guaranteed
+            job.unsure = old.unsure and old.versions.get(0) == entry.version
         self.shard.adopt(job)
         return job
 
@@ -166,6 +167,8 @@
         for draft in batch:
             conditions.update(draft.conditions)
             changes += draft.changes
+            # Another node that reads the record may tell its user before we know.
+            draft.job.unsure |= bool(draft.final or draft.cancel)
         try:
             revision = await self.state.txn(conditions, changes, urgent)
         except Conflict as fault:
--- a/tests/model.py
+++ b/tests/model.py
@@ -398,7 +398,9 @@
         return machine_shard(worker.name, worker.zone, self.zones)
 
     def do_report(self) -> None:
-        worker = self.rng.choice(list(self.workers.values()))
+        self.send_report(self.rng.choice(list(self.workers.values())))
+
+    def send_report(self, worker: PlainWorker) -> None:
         sent, session = self.clock.at, worker.session
         report = worker.report()
         for node in self.nodes:
@@ -440,7 +442,7 @@
             machines.shed()
             for machine in machines.reconcile():
                 orders = machines.orders(machine, valid)
-                if orders.commands:
+                if orders.commands or machine.back is not None:
                     machine.busy = True
                     self.orders.append((machine.name, orders, machines))
             if valid and machines.needs_new_token() and not node.client.cut:
@@ -448,13 +450,18 @@
                 change = put(key, records.ShardValue(0, machines.gen))
                 if not self.state.apply({key: machines.token}, [change]):
                     machines.token = node.jobs[shard].shard.token = self.state.epoch
+            # The step waits for the state service here, and reports go on coming in.
+            if self.rng.random() < 0.3:
+                for worker in self.workers.values():
+                    worker.progress(self.rng)
+                    self.send_report(worker)
             # Differences get lost here, so whole ones must come often enough.
             view = machines.view(valid)
             whole = self.rng.random() < 0.4
             message = pb.Envelope(view=machines.whole_view(valid) if whole else view)
             self.mail += [(n, message) for n in range(2)]
         for writer in node.jobs.values():
-            if not writer.shard.loaded:
+            if not (writer.shard.loaded and valid):
                 continue
             for other in self.nodes:
                 for to, machines in other.machines.items():
@@ -465,9 +472,10 @@
                     self.mail.append((other.number, pb.Envelope(wants=wants)))
 
     def do_mail(self) -> None:
-        """Deliver a message, in no order; some are lost, some stay for much later."""
+        """Deliver messages, mostly in order; some are lost, some stay for much later."""
         for _ in range(min(6, len(self.mail))):
-            to, envelope = self.mail.pop(self.rng.randrange(len(self.mail)))
+            late = self.rng.random() < 0.2
+            to, envelope = self.mail.pop(self.rng.randrange(len(self.mail)) if late else 0)
             if self.rng.random() < 0.1:
                 continue
             node = self.nodes[to]
@@ -511,7 +519,7 @@
             return
         taken = machines.take_report(report, False)
         if status == 409:
-            machines.refused_orders(taken, orders)
+            machines.refused_orders(taken)
 
     def do_write(self) -> None:
         for node in self.nodes:
--- /dev/null
+++ b/tests/test_answers.py
@@ -0,0 +1,316 @@
+"""What users are told never goes back, whichever controller they ask."""
+
+import random
+
+import curio
+import msgspec
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from starlingdeck.coordination.jobs import JobShard, Place
+from starlingdeck.coordination.membership import Holder
+from starlingdeck.coordination.node import Node
+from starlingdeck.coordination.peers import PeerDown
+from starlingdeck.coordination.shards import job_shard
+from starlingdeck.coordination.writer import Writer
+from starlingdeck.protocol import api
+from starlingdeck.protocol import peer_pb2 as pb
+from starlingdeck.storage import records
+from starlingdeck.storage.state import StateError, StateUnknown, put
+from starlingdeck.transport.server import Request, Response
+from tests.build import Clock, job_body, make_world
+from tests.model import PlainClient, PlainState
+
+NODES = 3
+TTL_S = 2.5
+JOB = "j-000001"
+SHARD = job_shard(JOB, NODES)
+
+
+class Deck:
+    """Three controllers, one job, and the troubles between them. Watches can be held back."""
+
+    def __init__(self, seed: int) -> None:
+        self.clock = Clock()
+        self.state = PlainState(random.Random(seed))
+        self.clients = [PlainClient(self.state, 0.0) for _ in range(NODES)]
+        self.nodes = [self.start(i) for i in range(NODES)]
+        self.parted: set[frozenset[int]] = set()
+        self.deaf: set[int] = set()
+        self.holder = -1
+        self.told = ""
+        self.known = False
+
+    def start(self, number: int) -> Node:
+        node = Node(make_world(self.clock, node=number))
+        node.state = node.users.state = self.clients[number]  # type: ignore[assignment]
+        node.membership.lease, node.membership.renewed = 1, self.clock.at
+
+        async def call(to: int, envelope: pb.Envelope, timeout_s: float) -> pb.Envelope:
+            if not up(to):
+                raise PeerDown("parted")
+            reply = await self.nodes[to].on_message(envelope)
+            assert reply is not None
+            return reply
+
+        def up(to: int) -> bool:
+            return frozenset((number, to)) not in self.parted
+
+        node.peers.call = call  # type: ignore[method-assign, assignment]
+        node.peers.up = up  # type: ignore[method-assign, assignment]
+        return node
+
+    async def tick(self, seconds: float) -> None:
+        """Leases, takeovers, and the watches of those that hear."""
+        self.clock.at += seconds
+        for number, node in enumerate(self.nodes):
+            if self.clock.at > node.membership.renewed + TTL_S:
+                node.writers.clear()
+                if number == self.holder:
+                    self.holder = -1
+                    del self.state.keys[records.shard_key(SHARD)]
+            if not self.clients[number].cut:
+                node.membership.renewed = self.clock.at
+        if self.holder < 0:
+            await self.take_over()
+        for number in set(range(NODES)) - self.deaf:
+            if not self.clients[number].cut:
+                await self.hear(number)
+
+    async def take_over(self) -> None:
+        able = [i for i in range(NODES) if not self.clients[i].cut]
+        if not able:
+            return
+        self.holder = able[0]
+        gen = self.state.rng.getrandbits(40)
+        change = put(records.shard_key(SHARD), records.ShardValue(self.holder, gen))
+        assert not self.state.apply({records.shard_key(SHARD): 0}, [change])
+        node, token = self.nodes[self.holder], self.state.epoch
+        writer = Writer(node.world, node.state, JobShard(node.world, SHARD, token, gen))
+        node.writers[SHARD] = writer
+        await node._load(writer)
+        for other in self.nodes:
+            other.membership.holders[SHARD] = Holder(self.holder, token, gen)
+
+    async def hear(self, number: int) -> None:
+        """The notes that its watch would have brought."""
+        writer = self.nodes[number].writers.get(SHARD)
+        prefix = records.inbox_key(SHARD, "")
+        for key, (_, version) in list(self.state.keys.items()):
+            if key.startswith(prefix) and writer is not None and writer.shard.loaded:
+                await self.nodes[number]._inbox(writer, key[len(prefix) :], key, version)
+
+    async def act(self, verb: str, number: int, other: int) -> None:
+        client, node = self.clients[number], self.nodes[number]
+        if verb == "cut":
+            client.cut = not client.cut
+        elif verb == "part":
+            self.parted ^= {frozenset((number, other))}
+        elif verb == "deaf":
+            self.deaf ^= {number}
+        elif verb == "trouble":
+            client.trouble = 0.0 if client.trouble else 0.6
+        elif verb == "late" and self.state.late:
+            self.state.apply(*self.state.late.pop(0))
+        elif verb == "outage":
+            down = not all(c.cut for c in self.clients)
+            for each in self.clients:
+                each.cut = down
+        elif verb == "finish":
+            await self.finish()
+        elif verb == "submit":
+            await self.ask(node, "POST", api.JOBS, msgspec.json.encode(job_body(JOB, chores=1)))
+        elif verb == "look":
+            await self.ask(node, "GET", f"{api.JOBS}/{JOB}", b"")
+        elif verb == "cancel":
+            await self.ask(node, "POST", f"{api.JOBS}/{JOB}/{api.CANCEL}", b"")
+
+    async def finish(self) -> None:
+        """The holder learns that the task ran to its end, and writes what it can."""
+        if self.holder < 0:
+            return
+        node = self.nodes[self.holder]
+        writer = node.writers[SHARD]
+        job = writer.shard.jobs.get(node.world.jobs.get(JOB) or 0)
+        if job is None or not node.membership.valid():
+            return
+        if not job.places and not job.cancelled:
+            job.places[0] = Place(
+                node.world.machines.put("vm-1"), 1, 1, 0, node.world.zones.put("a")
+            )
+        if job.places:
+            job.ends[0] = api.W_DONE
+        writer.shard.dirty.add(job.index)
+        try:
+            await writer.flush()
+        except StateError:
+            return
+
+    async def ask(self, node: Node, method: str, path: str, body: bytes) -> None:
+        reply: Response = await node.serve(Request(method, path, body))
+        if reply.status == 404 and path != api.JOBS:
+            assert not self.known, "a job once accepted is unknown"
+        if reply.status not in (200, 201):
+            return
+        status = msgspec.json.decode(reply.body, type=api.JobStatus)
+        self.known = True
+        if self.told:
+            assert status.state == self.told, f"was {self.told}, is {status.state}"
+        if status.state in (api.DONE, api.CANCELLED):
+            self.told = status.state
+
+
+VERBS = ["look"] * 5 + ["cancel", "cancel", "submit", "finish", "finish"]
+VERBS += ["cut", "part", "part", "deaf", "deaf", "trouble", "trouble", "late", "outage"]
+STEPS = st.tuples(
+    st.sampled_from(VERBS),
+    st.integers(0, NODES - 1),
+    st.integers(0, NODES - 1),
+    st.sampled_from([0.0, 0.0, 0.1, 1.0, 3.0]),
+)
+
+
+async def play(deck: Deck, steps: list[tuple[str, int, int, float]]) -> None:
+    await deck.tick(0.0)
+    for verb, number, other, seconds in steps:
+        await deck.act(verb, number, other)
+        if seconds:
+            await deck.tick(seconds)
+
+
+@pytest.fixture
+def deck(monkeypatch: pytest.MonkeyPatch) -> list[Deck]:
+    """Holds the deck in play, whose time passes while a controller sleeps."""
+    current: list[Deck] = []
+
+    async def sleep(seconds: float) -> None:
+        current[-1].clock.at += seconds
+
+    monkeypatch.setattr(curio, "sleep", sleep)
+    return current
+
+
+def test_a_cancellation_made_for_a_holder_is_told_when_that_has_heard(deck: list[Deck]) -> None:
+    """The holder came through an outage as valid and answered from memory, before it had read
+    that another controller had cancelled the job and told its user so."""
+    deck.append(Deck(1))
+    clock, nodes = deck[0].clock, deck[0].nodes
+
+    async def drive() -> list[int]:
+        await play(deck[0], [("submit", 0, 0, 0.5)])
+        holder = deck[0].holder
+        near, far = (i for i in range(NODES) if i != holder)
+        deck[0].parted.add(frozenset((near, holder)))
+        deck[0].parted.add(frozenset((near, far)))
+        deck[0].deaf.add(holder)
+        path, statuses = f"{api.JOBS}/{JOB}/{api.CANCEL}", []
+        for heard in (False, True):
+            if heard:
+                await deck[0].hear(holder)
+            before = clock.at
+            reply = await nodes[near].serve(Request("POST", path, b""))
+            statuses.append(reply.status)
+            assert clock.at - before < 1.0
+            look = await nodes[far].serve(Request("GET", f"{api.JOBS}/{JOB}", b""))
+            assert (b"cancelled" in look.body) == heard
+        return statuses
+
+    assert curio.run(drive) == [503, 200]
+
+
+def test_a_holder_does_not_answer_from_before_an_end_it_may_have_written(
+    deck: list[Deck],
+) -> None:
+    """The record said done and another controller had told its user so, while the holder, whose
+    write had got no answer, called the job running."""
+    deck.append(Deck(1))
+
+    async def drive() -> None:
+        await play(deck[0], [("submit", 0, 0, 0.5)])
+        holder = deck[0].holder
+        far = (holder + 1) % NODES
+        client = deck[0].clients[holder]
+        apply = client.txn
+
+        async def mute(conditions, changes, urgent=False):  # type: ignore[no-untyped-def]
+            await apply(conditions, changes, urgent)
+            raise StateUnknown("no answer")
+
+        client.txn = mute  # type: ignore[method-assign]
+        await deck[0].finish()
+        deck[0].parted.add(frozenset((holder, far)))
+        await deck[0].act("look", far, 0)
+        assert deck[0].told == api.DONE
+        await deck[0].act("look", holder, 0)
+
+    curio.run(drive)
+
+
+@pytest.mark.parametrize("when", ["read", "heard"])
+def test_a_cancellation_that_comes_while_a_holder_reads_is_not_missed(
+    deck: list[Deck], when: str
+) -> None:
+    """Watches passed over notes while a shard was being read after its takeover, and a note that
+    came while an older one was acted on was dropped with that: the holder went on running jobs
+    whose users had been told that they were cancelled."""
+    deck.append(Deck(1))
+
+    async def drive() -> None:
+        await play(deck[0], [("submit", 0, 0, 0.5)])
+        former = deck[0].holder
+        writer = deck[0].nodes[former].writers[SHARD]
+        others = [i for i in range(NODES) if i != former]
+        deck[0].parted.update(frozenset((i, former)) for i in others)
+        client = deck[0].clients[former if when == "heard" else others[0]]
+        plain = client.get if when == "heard" else client.read
+        cancels = [others[-1]]
+
+        async def and_then(key: str, urgent: bool = False) -> object:
+            found = await plain(key)
+            if key.startswith(records.job_key(SHARD, "")) and cancels:
+                await deck[0].act("cancel", cancels.pop(), 0)
+            return found
+
+        if when == "heard":
+            note = {records.inbox_key(SHARD, JOB): 0}
+            assert not deck[0].state.apply(note, [put(records.inbox_key(SHARD, JOB), 1)])
+            client.get = and_then  # type: ignore[method-assign, assignment]
+            await deck[0].hear(former)
+        else:
+            client.read = and_then  # type: ignore[method-assign, assignment]
+            deck[0].deaf.update(others)  # the watch has come by while the shard is read
+            deck[0].clients[former].cut = True
+            await deck[0].tick(TTL_S + 1.0)
+            writer = deck[0].nodes[deck[0].holder].writers[SHARD]
+        (job,) = writer.shard.jobs.values()
+        assert job.cancelled or records.inbox_key(SHARD, JOB) in deck[0].state.keys
+        assert job.cancelled == (when == "read")
+
+    curio.run(drive)
+
+
+PAIRS = st.sampled_from([frozenset(p) for p in ((0, 1), (0, 2), (1, 2))])
+
+
+@settings(derandomize=True, max_examples=300, deadline=None)
+@given(
+    seed=st.integers(0, 1 << 16),
+    parted=st.sets(PAIRS),
+    deaf=st.sets(st.integers(0, NODES - 1)),
+    steps=st.lists(STEPS, min_size=6, max_size=30),
+)
+def check_answers(
+    current: list[Deck],
+    seed: int,
+    parted: set[frozenset[int]],
+    deaf: set[int],
+    steps: list[tuple[str, int, int, float]],
+) -> None:
+    current[:] = [Deck(seed)]
+    current[0].parted, current[0].deaf = parted, deaf
+    curio.run(play, current[0], [("submit", 0, 0, 0.1), *steps])
+
+
+def test_what_was_told_never_goes_back(deck: list[Deck]) -> None:
+    check_answers(deck)
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -4,6 +4,7 @@
 
 import curio
 import msgspec
+import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
@@ -13,6 +14,7 @@
 from starlingdeck.coordination.names import task_key
 from starlingdeck.coordination.node import Node
 from starlingdeck.coordination.peers import pack
+from starlingdeck.coordination.shards import job_shard
 from starlingdeck.coordination.sights import Sight, follow
 from starlingdeck.protocol import api
 from starlingdeck.protocol import peer_pb2 as pb
@@ -71,6 +73,37 @@
     assert sights[1].task(world.machines.put("vm-1"), "j-000001", 0, 1) is not None
 
 
+@pytest.mark.parametrize("every", [False, True])
+def test_a_machine_that_changed_since_its_list_was_reconciled_is_shown(every: bool) -> None:
+    """While a step waited for a raised token, a report made the machine due again: the view
+    said that the list was applied and left the machine out. Its last showing, fenced and
+    without the task, passed for a refusal: the task had started, and ran twice."""
+    clock = Clock()
+    world = make_world(clock)
+    machines = MachineShard(world, 1, 5, 77, 0.0)
+    shard = job_shard("j-000001", 3)
+    jobs = JobShard(world, shard, 3, 9)
+    job = new_job(world, spec("j-000001"), shard, 0)
+    machines.take_report(report("vm-1"), True)
+    machines.reconcile()
+    sights: dict[int, Sight] = {}
+    follow(world, sights, machines.view(True))
+    job.places[0] = Place(world.machines.put("vm-1"), 1, 1, 1, world.zones.put("b"))
+    jobs.adopt(job)
+    machines.apply_wants(jobs.wants(1, 77))
+    (machine,) = machines.reconcile()
+    assert [c.op for c in machines.orders(machine, True).commands] == [api.START]
+    other = api.ReportTask("j-000002/0", 1, "running")
+    machines.take_report(msgspec.structs.replace(report("vm-1", 2), tasks=[other]), True)
+    touched = follow(world, sights, machines.view(True))
+    jobs.apply_view(sights[1], None if every else touched)
+    assert not job.ends
+    machines.reconcile()
+    follow(world, sights, machines.view(True))
+    assert sights[1].machines[machine.index].fenced
+    assert sights[1].task(machine.index, "j-000001", 0, 1) is not None
+
+
 def test_lists_carry_only_what_changed_and_start_anew_for_a_new_hold() -> None:
     world = make_world(Clock())
     machines = MachineShard(world, 1, 5, 77, 0.0)
--- a/tests/test_machines.py
+++ b/tests/test_machines.py
@@ -22,7 +22,7 @@
 
     def report(seq: int, *tasks: api.ReportTask) -> None:
         body = api.Report("vm-1", "x", "small", "a", 1, seq, 3, tasks=list(tasks))
-        machines.take_report(body, True)
+        machines.take_report(body, False)
 
     report(1)
     low = {"cores": 4.0, "chores": 1, "rank": "normal"}
@@ -66,7 +66,7 @@
     low = {"cores": 4.0, "chores": 1, "rank": "normal", "mark_s": 10.0, "stash_s": 3.0}
     ask(machines, "j-1", False, **low)
     tasks = [api.ReportTask("j-1/0", 1, "running")]
-    machines.take_report(api.Report("vm-1", "x", "small", "a", 1, 1, 3, tasks=tasks), True)
+    machines.take_report(api.Report("vm-1", "x", "small", "a", 1, 1, 3, tasks=tasks), False)
     ask(machines, "j-1", False, **low)
     machine = machines.machines[machines.world.machines.put("vm-1")]
     for wait_s, grace_s in ((0.0, 4.0), (6.0, 4.0), (2.0, 0.0)):
@@ -83,7 +83,7 @@
     """What was known of a job stayed for as long as the shard was held."""
     clock = Clock()
     machines = MachineShard(make_world(clock), 0, 3, 9, 0.0)
-    machines.take_report(api.Report("vm-1", "x", "small", "a", 1, 1, 3), True)
+    machines.take_report(api.Report("vm-1", "x", "small", "a", 1, 1, 3), False)
     for number in range(50):
         ask(machines, f"j-{number}", False, chores=1)
         machines.machines[0].holds.clear()
@@ -97,3 +97,35 @@
     names = machines.world.jobs
     assert {names[index] for index in machines.jobs} == {"j-7", "j-8"}
     assert not machines.gone
+
+
+def test_a_machine_back_from_a_cut_is_drawn_only_when_its_word_is_new() -> None:
+    """Held reports of a session long over brought it back to life; tasks were placed there, freed
+    by the next held report, which showed a newer session, and placed again."""
+    clock = Clock()
+    machines = MachineShard(make_world(clock), 0, 3, 9, 0.0)
+
+    def report(session: int, seq: int, renews: bool = True) -> None:
+        machines.take_report(api.Report("vm-1", "x", "small", "a", session, seq, 3), renews)
+
+    report(1, 1)
+    (machine,) = machines.reconcile()
+    assert not ask(machines, "j-1", False) and not machines.orders(machine, True).commands
+    report(1, 2, renews=False)
+    assert ask(machines, "j-1", False)
+    clock.at += 30.0
+    machines.check_silence()
+    assert machine.dead
+    for session, seq in ((1, 3), (1, 4), (2, 5)):
+        report(session, seq)
+        assert not machine.dead and not ask(machines, "j-2", False)
+    assert machine in machines.reconcile()  # to be called
+    report(3, 6, renews=False)
+    assert machine.session == 3 and ask(machines, "j-2", False)
+    # One that can't be called is believed when its reports go on.
+    clock.at += 30.0
+    report(3, 7)
+    assert not ask(machines, "j-3", False)
+    clock.at += machines.settled_s + 0.1
+    report(3, 8)
+    assert ask(machines, "j-3", False) and machine.back is None
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -241,3 +241,22 @@
     told = api.Event(state.epoch, key, msgspec.Raw(msgspec.json.encode(value)))
     curio.run(own._event, told)
     assert curio.run(writer.flush) and list(job.places) == [0]
+
+
+def test_only_who_surely_holds_a_shard_says_what_it_wants() -> None:
+    """The first list to reach a new machine holder came from a former job holder, which named a
+    task that its successor had seen stopped and reaped: it was started once more."""
+    clock = Clock()
+    node = Node(make_world(clock))
+    node.membership.lease, node.membership.renewed = 1, clock.at
+    node.membership.holders[0] = Holder(0, 5, 77)
+    node.machines[0] = MachineShard(node.world, 0, 5, 77, 0.0)
+    jobs = JobShard(node.world, 0, 5, 77)
+    jobs.loaded = True
+    node.writers[0] = Writer(node.world, node.state, jobs)
+    clock.at += node.world.tuning.state_lease_s
+    curio.run(node.step)
+    assert not node.membership.valid() and not node.machines[0].acks
+    node.membership.renewed = clock.at
+    curio.run(node.step)
+    assert node.machines[0].acks == {0: (5, 1)}
