Bounds at the doors; what a loop can't digest is set aside while the rest goes on

Task numbers over the most were another job's. Change: submissions and reports are held to bounds (docs/operations.md), records are read without them; an accepted job stays known; the writer takes as many starts as a value holds; jobs, machines and records that a loop stumbles over are set aside for 30 s with one line and the reason in the user's answer. Messages of peers that aren't understood end their link only.

--- a/starlingdeck/coordination/exchange.py
+++ b/starlingdeck/coordination/exchange.py
@@ -88,7 +88,7 @@
     def take_view(self, view: pb.View) -> bool | None:
         """True when an attempt was judged by it; None when the whole has to be asked for."""
         holder = self.membership.holders.get(view.shard)
-        if holder is not None and holder.gen != view.gen:
+        if view.shard >= self.world.shards or (holder is not None and holder.gen != view.gen):
             return False
         touched = follow(self.world, self.sights, view)
         if touched is None:
--- a/starlingdeck/coordination/fleet.py
+++ b/starlingdeck/coordination/fleet.py
@@ -123,6 +123,8 @@
     needs = together(demands) + spare_demand(world, rooms, draining)
     new: dict[tuple[int, str, bool], int] = {}
     for need in sorted(needs, key=lambda d: (-d.rank, -d.size[0])):
+        if not math.isfinite(sum(need.size)) or need.count < 1:
+            continue  # a peer's nonsense
         left = need.count - _take(world, need, need.count, bins)
         while left > 0 and sum(new.values()) < MOST_WANTED:
             choice = cheapest(world, state, structs.replace(need, count=left), now)
@@ -217,7 +219,7 @@
                 if state.no_capacity.get(key, 0.0) > now:
                     continue
                 price = kind.spot_price if spot else kind.price
-                rank = price / min(most, max(1, need.count))
+                rank = price / max(1, min(most, need.count))
                 if rank < best_rank:
                     best, best_rank = key, rank
     return best
--- a/starlingdeck/coordination/jobs.py
+++ b/starlingdeck/coordination/jobs.py
@@ -277,8 +277,12 @@
             index, task = split_key(key)
             job = self.jobs.get(index)
             place = job.places.get(task) if job is not None else None
-            if job is not None and place is not None and place.shard == sight.shard:
+            if job is None or place is None or place.shard != sight.shard:
+                continue
+            try:
                 changed |= self._judge(sight, out, current, job, task, place)
+            except Exception as why:
+                self.world.set_aside("job", job.id, why)
         return changed
 
     def _judge(
@@ -415,7 +419,7 @@
 
     # --- making it durable
 
-    def draft(self, job: Job) -> Draft | None:
+    def draft(self, job: Job, most_chunks: int = 3) -> Draft | None:
         """The next write for a job, or None when nothing is to be written."""
         if job.final or job.stale:
             return None
@@ -438,8 +442,7 @@
             return Draft(job, conditions, [put(key, value), drop(main)], ends, {}, final, False, [])
         if not ends and not starts:
             return None
-        # A full chunk is close to a value's limit: more would not fit one transaction.
-        most = min(3, self.world.settings.settings.state.txn_ops)
+        most = min(most_chunks, self.world.settings.settings.state.txn_ops)
         chunks = sorted({t // CHUNK for t in (*ends, *starts)})[:most]
         ends = {t: w for t, w in ends.items() if t // CHUNK in chunks}
         starts = {t: p for t, p in starts.items() if t // CHUNK in chunks}
--- a/starlingdeck/coordination/machines.py
+++ b/starlingdeck/coordination/machines.py
@@ -283,7 +283,7 @@
             machine.doubt = 0
             self.touch(index)
         if report.notice_s is not None and machine.notice_until is None:
-            machine.notice_until = now + report.notice_s
+            machine.notice_until = now + max(0.0, report.notice_s)
             machine.draining = True
             self.noticed.add(index)
             log.info("machine %s: taken in %.0f s", machine.name, report.notice_s)
@@ -575,26 +575,33 @@
             if machine is None:
                 self.noticed.discard(index)
                 continue
-            chosen: set[int] = set()
-            live = {k: s for k, s in machine.tasks.items() if s.state in (api.FETCHING, api.ON)}
-            if machine.notice_until is not None and not machine.dead:
-                left = machine.notice_until - now
-                for key, seen in live.items():
-                    info = self.jobs.get(split_key(key)[0])
-                    if info is None:
-                        continue
-                    over = info.estimate_s * 1.2 - (now - seen.since)
-                    if info.service or seen.state == api.FETCHING or over > left:
-                        chosen.add(key)
-                    if info.checkpoint_s > 0 and left < info.save_s + 2.0 + 0.1 * left:
-                        # Nobody took it in time: at least its progress is saved.
-                        machine.evict.setdefault(key, info.save_s + 1.0)
-                        self.due.add(index)
-            else:
-                chosen = self._overfull(machine, live)
-            if chosen != machine.shed:
-                machine.shed = chosen
-                self.touch(index)
+            if not self.world.rests("machine", machine.name):
+                try:
+                    self._shed(machine, now)
+                except Exception as why:
+                    self.world.set_aside("machine", machine.name, why)
+
+    def _shed(self, machine: Machine, now: float) -> None:
+        chosen: set[int] = set()
+        live = {k: s for k, s in machine.tasks.items() if s.state in (api.FETCHING, api.ON)}
+        if machine.notice_until is not None and not machine.dead:
+            left = machine.notice_until - now
+            for key, seen in live.items():
+                info = self.jobs.get(split_key(key)[0])
+                if info is None:
+                    continue
+                over = info.estimate_s * 1.2 - (now - seen.since)
+                if info.service or seen.state == api.FETCHING or over > left:
+                    chosen.add(key)
+                if info.checkpoint_s > 0 and left < info.save_s + 2.0 + 0.1 * left:
+                    # Nobody took it in time: at least its progress is saved.
+                    machine.evict.setdefault(key, info.save_s + 1.0)
+                    self.due.add(machine.index)
+        else:
+            chosen = self._overfull(machine, live)
+        if chosen != machine.shed:
+            machine.shed = chosen
+            self.touch(machine.index)
 
     def _overfull(self, machine: Machine, live: dict[int, Seen]) -> set[int]:
         """By what the report shows, not by what was promised."""
@@ -642,24 +649,35 @@
             machine = self.machines.get(index)
             if machine is None:
                 continue
-            for key in [k for k, h in machine.holds.items() if h.until < now]:
-                del machine.holds[key]
-                self._show(machine)
-            if machine.dead:
+            if self.world.rests("machine", machine.name):
+                self.due.add(index)
                 continue
-            stops = self._compare(machine, now)
-            stops |= any(
-                key in machine.evict and s.state in (api.FETCHING, api.ON)
-                for key, s in machine.tasks.items()
-            )
-            ask = stops or bool(machine.launches) or machine.back is not None
-            if ask or machine.holds:
-                self.kept.add(index)
-            if ask and not machine.busy and machine.retry_at <= now:
-                busy.append(machine)
+            try:
+                if self._reconcile(machine, now):
+                    busy.append(machine)
+            except Exception as why:
+                # Nothing there may be called absent: it stays due.
+                self.world.set_aside("machine", machine.name, why)
+                self.due.add(index)
         self.settled = dict(self.acks)
         return busy
 
+    def _reconcile(self, machine: Machine, now: float) -> bool:
+        for key in [k for k, h in machine.holds.items() if h.until < now]:
+            del machine.holds[key]
+            self._show(machine)
+        if machine.dead:
+            return False
+        stops = self._compare(machine, now)
+        stops |= any(
+            key in machine.evict and s.state in (api.FETCHING, api.ON)
+            for key, s in machine.tasks.items()
+        )
+        ask = stops or bool(machine.launches) or machine.back is not None
+        if ask or machine.holds:
+            self.kept.add(machine.index)
+        return ask and not machine.busy and machine.retry_at <= now
+
     def prune(self) -> None:
         """Forget the jobs that no list names and no machine shows, and deleted machines that
         no list names: they would stay for as long as the shard is held. A list or a request
@@ -810,8 +828,16 @@
     def _entries(self, out: pb.View, shown: Iterable[int]) -> None:
         for index in shown:
             machine = self.machines.get(index)
-            if machine is not None:
+            if machine is None:
+                continue
+            before = len(out.machines)
+            try:
                 self._entry(out, machine)
+            except Exception as why:
+                # Nothing may be concluded from what was shown of it before.
+                self.world.set_aside("machine", machine.name, why)
+                del out.machines[before:]
+                out.machines.add(id=machine.name, session=machine.session)
 
     def _entry(self, out: pb.View, m: Machine) -> None:
         world = self.world
--- a/starlingdeck/coordination/membership.py
+++ b/starlingdeck/coordination/membership.py
@@ -81,6 +81,9 @@
     def note_holder(self, shard: int, holder: Holder) -> bool:
         """Learn of a holder from keys or peers; a higher token wins. True if it is news."""
         known = self.holders.get(shard)
+        shards = self.world.shards
+        if shard >= shards or holder.node >= shards:
+            return False  # of another deployment, or garbled: there is nobody to tell anything
         if known is not None and known.token >= holder.token:
             return False
         self.holders[shard] = holder
@@ -178,6 +181,8 @@
                 log.info("our node key is gone")
 
     async def _shard_event(self, shard: int, event: api.Event) -> None:
+        if not 0 <= shard < self.world.shards:
+            raise ValueError("no such shard")
         mine = self.held.get(shard)
         if not event.put:
             if mine is not None and event.version > mine.token:
--- a/starlingdeck/coordination/node.py
+++ b/starlingdeck/coordination/node.py
@@ -383,7 +383,7 @@
             body = msgspec.json.encode(orders)
             wait = self.world.tuning.reply_wait_s
             reply = await self.http.call(address, "POST", api.COMMANDS, body, wait)
-            report = msgspec.json.decode(reply.body, type=api.Report)
+            report = api.decode_report(reply.body)
             taken = machines.take_report(report, False)
             taken.unheard_do = 0
             if reply.status == 409:
@@ -392,7 +392,7 @@
                 raise NoAnswer(f"status {reply.status}")
             elif taken.launches:
                 taken.retry_at = self.world.now() + 0.3
-        except (NoAnswer, msgspec.DecodeError) as why:
+        except (NoAnswer, api.FieldFault) as why:
             if machine is not None:
                 machines.unanswered(machine, orders, not isinstance(why, NotSent))
         finally:
--- a/starlingdeck/coordination/peers.py
+++ b/starlingdeck/coordination/peers.py
@@ -114,6 +114,9 @@
                     await self._reply(link, envelope)
         except (OSError, DecodeError, curio.TaskTimeout) as fault:
             log.debug("a peer's connection ended: %r", fault)
+        except Exception:
+            # What it meant is sent again, whole, on its next connection.
+            log.exception("a peer's message was not understood")
 
     async def _reply(self, link: FrameLink, envelope: pb.Envelope) -> None:
         try:
--- a/starlingdeck/coordination/planner.py
+++ b/starlingdeck/coordination/planner.py
@@ -111,6 +111,7 @@
             for writer in self.writers.values()
             for job in writer.shard.jobs.values()
             if not (job.cancelled or job.final or job.stale) and job.pending(1)
+            if not self.world.rests("job", job.id)
         ]
         if not jobs and not any(w.shard.shed for w in self.writers.values()):
             self.demands[self.world.node] = (now, [])
@@ -127,16 +128,25 @@
         found = scheduler.Round(self.world, self.rooms.all(), self.gifts.spare, MOST_PICKS)
         for job in scheduler.order(self.world, jobs, self.world.wall_ms()):
             if self._waits(job):
-                await self._ask(found.place(job))
+                await self._ask(self._guarded(job, found.place))
                 await self._give_way()
         self.demands[self.world.node] = (now, self._demand(found.waiting))
         for job, _ in found.waiting:
             if self._waits(job):
-                await self._ask(self._preempting(job, found, now))
+                await self._ask(self._guarded(job, lambda j: self._preempting(j, found, now)))
                 await self._give_way()
         await self._ask(self._moving(found.rooms, now))
         return True
 
+    def _guarded(self, job: Job, pick: Callable[[Job], list[Pick]]) -> list[Pick]:
+        """A job that can't be planned doesn't keep the others waiting."""
+        try:
+            return pick(job)
+        except Exception as why:
+            self.world.set_aside("job", job.id, why)
+            job.asking.clear()
+            return []
+
     async def _ask(self, picks: list[Pick]) -> None:
         """Ask each machine shard for what was picked there for a job."""
         groups: dict[tuple[int, int, bool], list[Pick]] = {}
--- a/starlingdeck/coordination/reports.py
+++ b/starlingdeck/coordination/reports.py
@@ -42,8 +42,9 @@
 
     async def take(self, body: bytes, passed_on: bool = False) -> Response:
         try:
-            report = msgspec.json.decode(body, type=api.Report)
-        except msgspec.DecodeError as why:
+            report = api.decode_report(body)
+        except api.FieldFault as why:
+            log.info("a report was refused: %s", why)
             return fault(400, str(why))
         shard = machine_shard(report.machine, report.zone, self.world.shard_zones)
         machines = self.machines.get(shard)
--- a/starlingdeck/coordination/users.py
+++ b/starlingdeck/coordination/users.py
@@ -56,6 +56,13 @@
     return "a task fits no allowed machine type"
 
 
+def too_large(world: World, spec: JobSpec) -> str:
+    """Why a job's record could not be kept, or nothing. What its tasks need comes on top."""
+    most = int(world.settings.settings.state.value_kb * 1000 / 4)
+    size = len(msgspec.json.encode(spec))
+    return f"the description takes {size} bytes of {most} allowed" if size > most else ""
+
+
 class Users:
     def __init__(
         self,
@@ -84,6 +91,8 @@
         if not path.startswith(api.JOBS + "/"):
             return fault(404, "no such path")
         name, _, verb = path[len(api.JOBS) + 1 :].partition("/")
+        if not api.JOB_ID.fullmatch(name):
+            return fault(404, "no such job")
         if verb == api.CANCEL:
             if request.method != "POST":
                 return fault(405, "use POST")
@@ -103,6 +112,9 @@
             return reply
         except StateError as why:
             return fault(503, f"the state service can't be used now: {why}")
+        except msgspec.DecodeError as why:
+            self.world.set_aside("record", name or "of a submission", why)
+            return fault(503, "the job's record can't be read")
         finally:
             self.busy -= 1
 
@@ -110,7 +122,13 @@
         try:
             spec = api.decode_job(body)
         except api.FieldFault as why:
-            return fault(400, str(why))
+            # An earlier version may have taken what this one refuses: accepted, it stays known.
+            name = api.job_named(body)
+            known = await self._look(name) if name else None
+            return known or fault(400, str(why))
+        reason = too_large(self.world, spec)
+        if reason:
+            return await self._look(spec.id) or fault(400, reason)
         if not self.world.types:
             return fault(503, "machine types not known yet")
         reason = never(self.world, spec)
@@ -209,7 +227,10 @@
             # Another node may have read and told more than we know of it.
             return await self._look(name, True) or fault(503, "the job is changing")
         if job is not None:
-            return answer(200, shard.status(job))
+            status = shard.status(job)
+            if why := self.world.aside.why("job", name):
+                status.fault = f"set aside: {why}"
+            return answer(200, status)
         if name in shard.finals:
             state = shard.finals[name]
             return answer(200, final_status(name, state, shard.final_tasks.get(name, 0)))
--- a/starlingdeck/coordination/world.py
+++ b/starlingdeck/coordination/world.py
@@ -5,12 +5,14 @@
 
 from msgspec import Struct, field
 
+from starlingdeck.coordination.aside import Aside
 from starlingdeck.coordination.meters import Meters, Slices
 from starlingdeck.coordination.names import Names
 from starlingdeck.protocol.api import JobSpec, MachineType
 from starlingdeck.protocol.settings import Settings, Tuning
 
 Size = tuple[float, float, float]
+MANY = 1_000_000  # tasks: more than any job has
 DRIFT = 1.002  # steady clocks of two machines differ by 0.05% each; with room to spare
 
 
@@ -28,6 +30,7 @@
     types: dict[int, MachineType] = field(default_factory=dict)
     meters: Meters = field(default_factory=Meters)
     slices: Slices | None = None  # at log level debug
+    aside: Aside = field(default_factory=Aside)
     node: int = 0
     shards: int = 1
     shard_zones: list[str] = field(default_factory=list)
@@ -40,6 +43,12 @@
         for team in self.settings.settings.teams:
             self.teams.put(team.name)
 
+    def set_aside(self, kind: str, name: str, fault: BaseException) -> None:
+        self.aside.put(kind, name, fault, self.now())
+
+    def rests(self, kind: str, name: str) -> bool:
+        return self.aside.rests(kind, name, self.now())
+
     def learn_types(self, types: list[MachineType]) -> None:
         for kind in types:
             self.types[self.type_names.put(kind.name)] = kind
@@ -71,8 +80,9 @@
 
 
 def holds(size: Size, room: Sequence[float]) -> int:
-    """How many of a size go into a room."""
-    return min((int((r + 1e-9) / s) for s, r in zip(size, room, strict=True) if s > 0), default=0)
+    """How many of a size go into a room; MANY at the most, and of a size that takes nothing."""
+    many = (min(MANY, (r + 1e-9) / s) for s, r in zip(size, room, strict=True) if s > 0)
+    return max(0, int(min(many, default=MANY)))
 
 
 def size_of(spec: JobSpec) -> Size:
--- a/starlingdeck/coordination/writer.py
+++ b/starlingdeck/coordination/writer.py
@@ -15,6 +15,7 @@
 log = logging.getLogger(__name__)
 
 TXN_BYTES = 56 * 1024
+SPARE_BYTES = 200  # of a value, left free by starts
 URGENT = 2  # ranks from here on start as urgently as a submission is taken
 TOGETHER_S = 0.05  # (start) how long a job's first start waits for those still being asked for
 LOOK_S = 0.05  # while the budget has no room: how soon it is looked whether something urgent came
@@ -36,13 +37,23 @@
         mains, _ = await self.state.read(f"j/{shard}/")
         parts, _ = await self.state.read(f"t/{shard}/")
         chunks: dict[str, dict[int, tuple[int, Chunk]]] = {}
+        broken: set[str] = set()  # of those nothing may run: what runs already isn't known
         for entry in parts:
             _, _, job, number = entry.key.split("/")
-            value = msgspec.json.decode(entry.value, type=Chunk)
-            chunks.setdefault(job, {})[int(number)] = (entry.version, value)
+            try:
+                value = msgspec.json.decode(entry.value, type=Chunk)
+                chunks.setdefault(job, {})[int(number)] = (entry.version, value)
+            except Exception as why:
+                self.world.set_aside("record", entry.key, why)
+                broken.add(job)
         for entry in mains:
             name = entry.key.rsplit("/", 1)[1]
-            self._adopt(entry, chunks.get(name, {}))
+            if name in broken:
+                continue
+            try:
+                self._adopt(entry, chunks.get(name, {}))
+            except Exception as why:
+                self.world.set_aside("record", entry.key, why)
         self.shard.loaded = True
         log.info("shard %d: %d unfinished jobs read", shard, len(mains))
 
@@ -84,15 +95,19 @@
                 self.shard.finals[name] = value.state
                 self.shard.final_tasks[name] = value.tasks
             return None
-        main = msgspec.json.decode(entry.value, type=JobRecord)
-        parts: dict[int, tuple[int, Chunk]] = {}
-        if main.spec.tasks > records.CHUNK:
-            found, _ = await self.state.read(f"t/{shard}/{name}/")
+        try:
+            tasks = msgspec.json.decode(entry.value, type=JobRecord).spec.tasks
+            found: list[api.Entry] = []
+            if tasks > records.CHUNK:
+                found, _ = await self.state.read(f"t/{shard}/{name}/")
             parts = {
                 int(e.key.rsplit("/", 1)[1]): (e.version, msgspec.json.decode(e.value, type=Chunk))
                 for e in found
             }
-        return self._adopt(entry, parts)
+            return self._adopt(entry, parts)
+        except (ValueError, LookupError, msgspec.DecodeError) as why:
+            self.world.set_aside("record", entry.key, why)
+            raise StateError("the job's record can't be read") from why
 
     async def flush(self) -> bool:
         """One transaction's worth of changes; True when there may be more.
@@ -141,7 +156,13 @@
             if job.asking and not job.ends and now - first_start(job) < TOGETHER_S:
                 # Its other machines' owners answer within milliseconds: one write for all.
                 continue
-            draft = self.shard.draft(job)
+            if self.world.rests("job", job.id):
+                continue
+            try:
+                draft, length = self._fitting(job)
+            except Exception as why:
+                self.world.set_aside("job", job.id, why)
+                continue
             if draft is None:
                 self.shard.dirty.discard(job.index)
                 continue
@@ -153,7 +174,6 @@
             elif pressing(batch[0]) and not pressing(draft):
                 # Nothing else may use the calls kept for what is urgent.
                 break
-            length = len(msgspec.json.encode(draft.changes))
             if batch and (changes + len(draft.changes) > most or size + length > TXN_BYTES):
                 break
             batch.append(draft)
@@ -161,6 +181,32 @@
             size += length
         return batch, 0.0
 
+    def _fitting(self, job: Job) -> tuple[Draft | None, int]:
+        """A job's next write, with as much of what is to be written as values may hold, and its
+        size in bytes.
+
+        A value over the limit is answered 400 and fails the whole batch, again and again: one
+        job with a long description held up all writing of its shard.
+        """
+        limit = self.world.settings.settings.state.value_kb * 1000
+        draft, size = self.shard.draft(job), 0
+        while draft is not None:
+            sizes = [len(msgspec.json.encode(c)) for c in draft.changes]
+            size = sum(sizes)
+            if size > TXN_BYTES and len(draft.chunks) > 1:
+                draft = self.shard.draft(job, len(draft.chunks) - 1)
+            elif draft.starts and max(sizes) > limit - SPARE_BYTES:
+                # What an end or a cancellation adds must still fit later.
+                for task in list(draft.starts)[len(draft.starts) // 2 :]:
+                    del job.starts[task]
+                    job.retry_at[task] = self.world.now() + 1.0
+                draft = self.shard.draft(job, len(draft.chunks))
+            elif max(sizes) > limit + SPARE_BYTES:
+                raise ValueError(f"a record of {max(sizes)} bytes, of {limit:.0f} allowed")
+            else:
+                break
+        return draft, size
+
     async def _write(self, batch: list[Draft], urgent: bool) -> bool:
         conditions: dict[str, int] = {}
         changes: list[api.Change] = []
--- a/starlingdeck/protocol/api.py
+++ b/starlingdeck/protocol/api.py
@@ -3,6 +3,7 @@
 Wire names stand in this file and nowhere else.
 """
 
+import re
 from typing import Annotated, Any, Literal
 
 import msgspec
@@ -45,11 +46,27 @@
 }
 WHY_NAMES = {code: name for name, code in WHY_CODES.items()}
 
+# What the doors let in; `docs/operations.md` lists these bounds.
+MOST_AMOUNT = 1e9
+LEAST_SIZE = 1e-6  # of a task that takes any of it: a smaller one divides into infinitely many
+MOST_NAME = 120
+MOST_TYPES = 64
+MOST_TASKS = 100_000
+JOB_ID = re.compile(r"j-[0-9]{1,18}")
+NAME = re.compile(rf"[^\x00-\x1f\x7f]{{0,{MOST_NAME}}}")
+
+Attempt = Annotated[int, Meta(ge=0, lt=1 << 32)]
+Counter = Annotated[int, Meta(ge=0)]
+# The state service's keys and the log hold it as it is.
+HostName = Annotated[str, Meta(pattern=rf"\A[^\x00-\x20\x7f/]{{1,{MOST_NAME}}}\Z")]
+OtherName = Annotated[str, Meta(pattern=rf"\A[^\x00-\x1f\x7f]{{0,{MOST_NAME}}}\Z")]
+
 JobId = Annotated[str, Meta(pattern=r"^j-[0-9]{1,18}$")]
 
 
 class JobSpec(msgspec.Struct, frozen=True):
-    """A job as its user submitted it."""
+    """A job as its user submitted it. Records are read with it too: what an earlier version
+    accepted must still be read, so bounds stand in `bounded`, not here."""
 
     id: JobId = field(name="uid")
     cls: str = field(name="flock")
@@ -86,6 +103,7 @@
     state: str = field(name="status")
     done: int | None = None
     running: int | None = None
+    fault: str | None = None  # why it is set aside: an addition to the protocol's fields
 
 
 class ErrorBody(msgspec.Struct):
@@ -94,20 +112,20 @@
 
 class ReportTask(msgspec.Struct):
     task: str = field(name="chore")
-    attempt: int = field(name="try")
+    attempt: Attempt = field(name="try")
     state: str = field(name="status")
     why: str | None = field(name="cause", default=None)
     saved: bool | None = field(name="kept", default=None)
 
 
 class Report(msgspec.Struct):
-    machine: str = field(name="host")
-    addr: str = field(name="endpoint")
-    type: str = field(name="build")
-    zone: str = field(name="roost")
-    session: int = field(name="tenure")
-    seq: int = field(name="tally")
-    token: int = field(name="baton")
+    machine: HostName = field(name="host")
+    addr: OtherName = field(name="endpoint")
+    type: OtherName = field(name="build")
+    zone: OtherName = field(name="roost")
+    session: Counter = field(name="tenure")
+    seq: Counter = field(name="tally")
+    token: Counter = field(name="baton")
     spot: bool = field(name="loaners", default=False)
     notice_s: float | None = field(name="warning_s", default=None)
     tasks: list[ReportTask] = field(name="chores", default_factory=list)
@@ -244,10 +262,68 @@
 
 
 def decode_job(body: bytes) -> JobSpec:
+    """A submission's body; raises FieldFault for what may not come in."""
     try:
-        return msgspec.json.decode(body, type=JobSpec)
+        spec = msgspec.json.decode(body, type=JobSpec)
     except (msgspec.DecodeError, UnicodeDecodeError) as fault:
         raise FieldFault(str(fault)) from fault
+    if fault_text := bounded(spec):
+        raise FieldFault(fault_text)
+    return spec
+
+
+def bounded(spec: JobSpec) -> str:
+    """Which field is out of its bounds, or nothing."""
+    if not JOB_ID.fullmatch(spec.id):
+        return f"uid: must match {JOB_ID.pattern}"
+    names = {"flock": [spec.cls], "crew": [spec.team], "kit": [spec.image]}
+    names |= {"builds": spec.types or [], "roost": [spec.zone or ""]}
+    for name, values in names.items():
+        if not all(NAME.fullmatch(value) for value in values):
+            return f"{name}: at most {MOST_NAME} characters, none of them a control character"
+    if len(spec.types or ()) > MOST_TYPES:
+        return f"builds: at most {MOST_TYPES} names"
+    sizes = {"cores": spec.cpus, "accelerators": spec.gpus, "ram_gb": spec.memory_gb}
+    amounts = sizes | {
+        "image_gb": spec.image_gb,
+        "guess_s": spec.estimate_s,
+        "mark_s": spec.checkpoint_s,
+        "stash_s": spec.save_s,
+        "due_s": spec.deadline_s or 0.0,
+    }
+    for name, value in amounts.items():
+        if value > MOST_AMOUNT:
+            return f"{name}: at most {MOST_AMOUNT:.0f}"
+    for name, value in sizes.items():
+        if 0 < value < LEAST_SIZE:
+            return f"{name}: 0, or at least {LEAST_SIZE:.6f}"
+    if not any(sizes.values()):
+        return "cores, accelerators, ram_gb: one of them must be over 0"
+    return ""
+
+
+def decode_report(body: bytes) -> Report:
+    """A worker's report, from itself or in answer to a command; raises FieldFault."""
+    try:
+        report = msgspec.json.decode(body, type=Report)
+    except (msgspec.DecodeError, UnicodeDecodeError) as fault:
+        raise FieldFault(str(fault)) from fault
+    if max(report.session, report.seq, report.token) >> 64:
+        raise FieldFault("tenure, tally, baton: under 2^64")
+    return report
+
+
+class _Named(msgspec.Struct):
+    id: str = field(name="uid")
+
+
+def job_named(body: bytes) -> str:
+    """The job that a refused body names, or nothing."""
+    try:
+        name = msgspec.json.decode(body, type=_Named).id
+    except (msgspec.DecodeError, UnicodeDecodeError):
+        return ""
+    return name if JOB_ID.fullmatch(name) else ""
 
 
 def list_query(prefix: str, after: str | None, limit: int) -> str:
@@ -264,5 +340,7 @@
 
 
 def parse_task(name: str) -> tuple[str, int]:
+    """Job and number; -1 for what can be no task: a number over the most would be another's."""
     job, _, number = name.rpartition("/")
-    return job, int(number) if number.isdigit() else -1
+    good = JOB_ID.fullmatch(job) and number.isascii() and number.isdigit() and len(number) <= 6
+    return job, int(number) if good and int(number) < MOST_TASKS else -1
--- a/tests/model.py
+++ b/tests/model.py
@@ -127,6 +127,7 @@
     session: int = 1
     seq: int = 0
     token: int = 0
+    slots: int = 2
     answered: float = 0.0
     tasks: dict[str, PlainTask] = field(default_factory=dict)
     completed: set[str] = field(default_factory=set)
@@ -169,7 +170,7 @@
             if task is not None and task.state != "exited":
                 return
             live = sum(t.state != "exited" for t in self.tasks.values())
-            full = live >= 2
+            full = live >= self.slots
             self.tasks[command.task] = PlainTask(
                 command.attempt, "exited" if full else "fetching", "full" if full else None
             )
--- /dev/null
+++ b/tests/test_bounds.py
@@ -0,0 +1,333 @@
+"""What comes in from outside goes through every loop or stops at the door, and stops no other."""
+
+import contextlib
+import random
+from typing import Any
+
+import curio
+import msgspec
+import pytest
+from hypothesis import example, given, settings
+from hypothesis import strategies as st
+
+from starlingdeck.coordination import fleet, users
+from starlingdeck.coordination.node import Node
+from starlingdeck.protocol import api
+from starlingdeck.protocol import peer_pb2 as pb
+from starlingdeck.storage import records
+from starlingdeck.storage.records import JobRecord
+from starlingdeck.storage.state import put
+from starlingdeck.transport.client import Reply
+from starlingdeck.transport.server import Request
+from tests.build import Clock, job_body, make_world, spec
+from tests.model import Model, PlainClient, PlainState, PlainWorker
+
+VALUE_BYTES, TXN_BYTES = 16 * 1024, 64 * 1024
+GOOD = "j-000001"
+
+
+class StrictClient(PlainClient):
+    """Holds callers to the state service's limits."""
+
+    async def txn(
+        self, conditions: dict[str, int], changes: list[api.Change], urgent: bool = False
+    ) -> int:
+        body = api.Txn([api.Condition(k, v) for k, v in conditions.items()], changes)
+        assert len(msgspec.json.encode(body)) <= TXN_BYTES and len(changes) <= 12
+        for change in changes:
+            key = change.put or change.delete or ""
+            assert 0 < len(key.encode()) <= 200 and not any(c.isspace() for c in key)
+            assert len(msgspec.json.encode(change.value)) <= VALUE_BYTES
+        return await super().txn(conditions, changes, urgent)
+
+
+class Plain(Model):
+    """Just what a worker needs of it."""
+
+    def __init__(self) -> None:
+        self.finished = set()
+
+    def launched(self, name: str) -> None:
+        pass
+
+    def begins(self, worker: PlainWorker, name: str) -> None:
+        pass
+
+
+class Site:
+    """One controller, its state service and three machines; it may be restarted."""
+
+    def __init__(self) -> None:
+        self.clock = Clock()
+        self.state = PlainState(random.Random(1))
+        self.client = StrictClient(self.state, 0.0)
+        self.workers = {
+            f"w-{i}:1": PlainWorker(f"vm-{i}", "a", Plain(), slots=400) for i in range(3)
+        }
+
+    async def start(self) -> None:
+        self.node = node = Node(make_world(self.clock, zones=("a",)))
+        node.state = node.users.state = node.membership.state = self.client  # type: ignore
+        node.membership.lease, node.membership.renewed = 1, self.clock.at
+        found = self.state.keys.get(records.shard_key(0), (b"", 0))[1]
+        await node.membership._take(0, found, 0.0)
+
+        async def call(
+            address: str, method: str, path: str, body: bytes | None, timeout_s: float
+        ) -> Reply:
+            orders = msgspec.json.decode(body or b"", type=api.Commands)
+            status, report = self.workers[address].do(orders)
+            return Reply(status, self.body(address, report), None)
+
+        node.http.call = call  # type: ignore[method-assign]
+
+    def body(self, address: str, report: api.Report) -> bytes:
+        return msgspec.json.encode(msgspec.structs.replace(report, addr=address, type="big"))
+
+    async def ask(self, method: str, path: str, body: bytes = b"") -> tuple[int, Any]:
+        reply = await self.node.serve(Request(method, path, body))
+        return reply.status, msgspec.json.decode(reply.body)
+
+    async def submit(self, **fields: Any) -> int:
+        return (await self.ask("POST", api.JOBS, msgspec.json.encode(job_body(**fields))))[0]
+
+    async def go_round(self, times: int) -> None:
+        """Every loop of the controller, and the machines' work."""
+        node = self.node
+        for _ in range(times):
+            self.clock.at += 0.3
+            node.membership.renewed = self.clock.at
+            for address, worker in self.workers.items():
+                worker.expire(self.clock.at)
+                sent, session = self.clock.at, worker.session
+                status, told = await self.ask(
+                    "POST", api.REPORT, self.body(address, worker.report())
+                )
+                assert status == 200
+                worker.answer(msgspec.convert(told, api.ReportReply), session, sent)
+                worker.progress(self.state.rng)
+            await node.planner.plan()
+            for _ in range(3):
+                await curio.sleep(0)
+            for writer in node.writers.values():
+                while await writer.flush():
+                    pass
+            await node.step()
+            await curio.sleep(0)
+            hello = pb.Hello.FromString(node.hello().SerializeToString())
+            await node.on_hello(0, hello)
+            demands = node.planner.all_demands()
+            rooms = node.rooms.all()
+            fleet.wanted_asks(node.world, fleet.FleetState(), demands, rooms, [], [], self.clock.at)
+
+
+NUMBERS = st.sampled_from(
+    [0, 0.0, -0.0, 5e-324, 1e-320, 1e-7, 1e-6, 0.5, 1, 2.5, 4, 1e9, 1.1e9, 1e300, -1, 1 << 70]
+)
+TEXTS = st.one_of(
+    st.text(max_size=8),
+    st.sampled_from(["a", "b", "small", "red", "blue", "img\n", "x" * 120, "é" * 120, "x" * 6000]),
+)
+FIELDS = st.fixed_dictionaries(
+    {},
+    optional={
+        **dict.fromkeys(("cores", "accelerators", "ram_gb", "image_gb"), NUMBERS),
+        **dict.fromkeys(("guess_s", "mark_s", "stash_s", "due_s"), st.none() | NUMBERS),
+        **dict.fromkeys(("kit", "flock", "crew", "roost"), st.none() | TEXTS),
+        "chores": st.sampled_from([0, 1, 3, 40, 256, 300, 100_000, 100_001]),
+        "builds": st.none() | st.lists(TEXTS, max_size=3) | st.just(["small"] * 70),
+        "rank": st.sampled_from(["prod", "urgent", "idle", "top"]),
+        "shape": st.sampled_from(["sweep", "daemon"]),
+        **dict.fromkeys(("spread", "same_place", "loaners"), st.booleans()),
+    },
+)
+
+
+@settings(derandomize=True, max_examples=60, deadline=None)
+@example([{"cores": 1e-320}, {"cores": 0, "ram_gb": 0}])
+@example([{"kit": "x" * 120, "chores": 256, "cores": 0.1, "ram_gb": 0.1, "builds": ["big"] * 60}])
+@given(st.lists(FIELDS, min_size=1, max_size=4))
+def test_what_the_door_accepts_goes_through_every_loop(bodies: list[dict[str, Any]]) -> None:
+    async def drive() -> None:
+        site = Site()
+        await site.start()
+        await site.go_round(1)
+        statuses = [
+            await site.submit(uid=f"j-{n + 100}", **fields) for n, fields in enumerate(bodies)
+        ]
+        assert set(statuses) <= {201, 400, 422}
+        assert await site.submit(uid=GOOD, rank="prod", chores=1) == 201
+        await site.go_round(12)
+        await site.start()
+        await site.go_round(12)
+        assert not site.node.world.aside.found
+        assert (await site.ask("GET", f"{api.JOBS}/{GOOD}"))[1]["status"] != api.QUEUED
+        for n, status in enumerate(statuses):
+            code, told = await site.ask("GET", f"{api.JOBS}/j-{n + 100}")
+            assert code == (200 if status == 201 else 404) and "fault" not in told
+
+    curio.run(drive)
+
+
+@pytest.mark.parametrize(
+    "fields",
+    [
+        {"cores": 1e-320},
+        {"cores": 0.0, "ram_gb": 0.0},
+        {"chores": 256, "cores": 0.001, "ram_gb": 0.001, "kit": "x" * 9000},
+        {"chores": 256, "cores": 0.001, "ram_gb": 0.001, "kit": "x" * 17000},
+        {"guess_s": 1e308, "image_gb": 1e308, "due_s": 1e308},
+    ],
+)
+def test_a_record_from_before_the_bounds_stops_nothing_else(fields: dict[str, Any]) -> None:
+    """One such job ended renting, planning, or all writing of its shard, at every controller,
+    and again after each restart; now it is set aside at worst, and its user is told."""
+
+    async def drive() -> None:
+        site = Site()
+        record = JobRecord(spec("j-7", **fields), site.clock.wall_ms())
+        assert not site.state.apply({}, [put(records.job_key(0, "j-7"), record)])
+        await site.start()
+        await site.go_round(2)
+        assert await site.submit(uid=GOOD, chores=2) == 201
+        await site.go_round(40)
+        assert (await site.ask("GET", f"{api.JOBS}/{GOOD}"))[1]["status"] == api.DONE
+        status, told = await site.ask("GET", f"{api.JOBS}/j-7")
+        assert status == 200
+        assert ("fault" in told) == bool(site.node.world.aside.why("job", "j-7"))
+        # The same submission once more is not refused: it was accepted.
+        assert await site.submit(uid="j-7", **fields) == 200
+
+    curio.run(drive)
+
+
+def test_a_record_that_can_not_be_read_stops_nothing_else() -> None:
+    async def drive() -> None:
+        site = Site()
+        for key in (records.job_key(0, "j-7"), records.chunk_key(0, "j-8", 1)):
+            assert not site.state.apply({}, [put(key, {"spec": 7, "tries": 7})])
+        assert not site.state.apply(
+            {}, [put(records.job_key(0, "j-8"), JobRecord(spec("j-8", chores=300), 0))]
+        )
+        await site.start()
+        assert await site.submit(uid=GOOD, chores=1) == 201
+        await site.go_round(40)
+        assert (await site.ask("GET", f"{api.JOBS}/{GOOD}"))[1]["status"] == api.DONE
+        assert (await site.ask("GET", f"{api.JOBS}/j-7"))[0] == 503
+        # What runs of a job is not known when a part of it can't be read: it starts nothing.
+        assert all("j-8/" not in name for w in site.workers.values() for name in w.completed)
+        found = {name for _, name in site.node.world.aside.found}
+        assert found == {records.job_key(0, "j-7"), records.chunk_key(0, "j-8", 1), "j-7"}
+
+    curio.run(drive)
+
+
+REPORTS = st.fixed_dictionaries(
+    {
+        "host": st.sampled_from(["vm-0", "vm-9", "vm 9", "", "x" * 300, "vm/9", "vm-é"]),
+        "endpoint": st.sampled_from(["w-0:1", "", "nowhere", "a:b:c", "w-0:99999999"]),
+        "build": st.sampled_from(["big", "none", "\x00"]),
+        "roost": st.sampled_from(["a", "z", ""]),
+        "tenure": st.sampled_from([0, 1, 2, 1 << 63, 1 << 64, -1]),
+        "tally": st.sampled_from([1, 5, 1 << 63, 1 << 70]),
+        "baton": st.sampled_from([0, 1, (1 << 64) - 1, -5]),
+        "warning_s": st.sampled_from([None, -1e300, 0.0, 1e300]),
+        "chores": st.lists(
+            st.fixed_dictionaries(
+                {
+                    "chore": st.sampled_from(
+                        ["j-000001/0", "j-1/²", "j-1/-1", "j-1/131072", "j-1", "x/1", "j-1/9999999"]
+                    ),
+                    "try": st.sampled_from([0, 1, (1 << 32) - 1, 1 << 32, -1]),
+                    "status": st.sampled_from(["running", "exited", "fetching", "odd"]),
+                    "cause": st.sampled_from([None, "done", "error", "odd"]),
+                }
+            ),
+            max_size=3,
+        ),
+    }
+)
+
+
+@settings(derandomize=True, max_examples=80, deadline=None)
+@given(st.lists(REPORTS, min_size=1, max_size=5))
+def test_what_workers_say_goes_through_every_loop(reports: list[dict[str, Any]]) -> None:
+    async def drive() -> None:
+        site = Site()
+        await site.start()
+        await site.go_round(2)
+        for report in reports:
+            status, _ = await site.ask("POST", api.REPORT, msgspec.json.encode(report))
+            assert status in (200, 400, 421)
+        site.clock.at += 30.0
+        site.node.membership.renewed = site.clock.at
+        assert await site.submit(uid="j-000002", chores=1) == 201
+        await site.go_round(20)
+        assert not site.node.world.aside.found
+        assert (await site.ask("GET", f"{api.JOBS}/j-000002"))[1]["status"] != api.QUEUED
+
+    curio.run(drive)
+
+
+def test_a_loop_that_stumbles_over_one_machine_serves_the_others(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def drive() -> None:
+        site = Site()
+        await site.start()
+        await site.go_round(2)
+        machines = site.node.machines[0]
+        bad = machines.machines[site.node.world.machines.put("vm-1")]
+        bad.type = None  # type: ignore[assignment]
+        machines.touch(bad.index)
+        assert await site.submit(uid=GOOD, chores=2) == 201
+        await site.go_round(30)
+        assert (await site.ask("GET", f"{api.JOBS}/{GOOD}"))[1]["status"] == api.DONE
+        assert [key for key in site.node.world.aside.found] == [("machine", "vm-1")]
+
+    curio.run(drive)
+
+
+@pytest.mark.parametrize(
+    "message",
+    [
+        pb.Envelope(view=pb.View(shard=9, gen=1, seq=1, whole=True)),
+        pb.Envelope(wants=pb.Wants(to_gen=1, whole=True, items=[pb.Want(job=3)])),
+        pb.Envelope(hello=pb.Hello(holdings=[pb.Holding(shard=7, node=9, token=1 << 60)])),
+        pb.Envelope(hello=pb.Hello(needs=[pb.QuotaNeed(team=99, shard=9, cpus=1e308)])),
+        pb.Envelope(hello=pb.Hello(demands=[pb.Demand(cpus=float("inf"), count=1)])),
+        pb.Envelope(hello=pb.Hello(demands=[pb.Demand(cpus=float("nan"), count=0)])),
+        pb.Envelope(hello=pb.Hello(jobs=[pb.TeamJob(team=99, cpus=float("nan"))])),
+    ],
+)
+def test_what_peers_say_stops_nothing(message: pb.Envelope) -> None:
+    async def drive() -> None:
+        site = Site()
+        await site.start()
+        if message.HasField("wants"):
+            message.wants.to_gen = site.node.machines[0].gen
+        with contextlib.suppress(LookupError, ValueError):  # its link ends: `Peers.serve`
+            await site.node.on_message(message)
+        assert await site.submit(uid=GOOD, chores=2) == 201
+        await site.go_round(40)
+        assert (await site.ask("GET", f"{api.JOBS}/{GOOD}"))[1]["status"] == api.DONE
+
+    curio.run(drive)
+
+
+def test_bodies_are_refused_with_the_field_and_its_bound() -> None:
+    for change, names in (
+        ({"uid": "j-1\n"}, "uid"),
+        ({"kit": "x" * 121}, "kit.*120"),
+        ({"kit": "a\x07"}, "kit"),
+        ({"flock": "x" * 121}, "flock"),
+        ({"builds": ["small"] * 65}, "builds.*64"),
+        ({"cores": 1e-320}, "cores.*0.000001"),
+        ({"cores": 0, "ram_gb": 0}, "cores.*over 0"),
+        ({"guess_s": 1e10}, "guess_s.*1000000000"),
+        ({"due_s": 1e300}, "due_s"),
+    ):
+        with pytest.raises(api.FieldFault, match=names):
+            api.decode_job(msgspec.json.encode(job_body(**change)))
+    wide = spec(builds=["é" * 120] * 60)
+    assert "of 4000 allowed" in users.too_large(make_world(Clock()), wide)
