--- a/starlingdeck/coordination/machines.py
+++ b/starlingdeck/coordination/machines.py
@@ -250,7 +250,8 @@
                 0,
                 now,
                 now,
-                now,
+                # A worker that has seen no token is new: it has no sessions behind it.
+                now if report.token else None,
                 now,
                 empty_since=now,
             )
--- a/starlingdeck/coordination/world.py
+++ b/starlingdeck/coordination/world.py
@@ -8,7 +8,7 @@
 from starlingdeck.coordination.aside import Aside
 from starlingdeck.coordination.meters import Meters, Slices
 from starlingdeck.coordination.names import Names
-from starlingdeck.protocol.api import JobSpec, MachineType
+from starlingdeck.protocol.api import JobSpec, MachineType, sound_type
 from starlingdeck.protocol.settings import Settings, Tuning
 
 Size = tuple[float, float, float]
@@ -51,6 +51,9 @@
 
     def learn_types(self, types: list[MachineType]) -> None:
         for kind in types:
+            if not sound_type(kind):
+                self.set_aside("machine type", kind.name, ValueError(str(kind)))
+                continue
             self.types[self.type_names.put(kind.name)] = kind
 
     def node_name(self, node: int) -> str:
--- a/starlingdeck/protocol/api.py
+++ b/starlingdeck/protocol/api.py
@@ -313,6 +313,14 @@
     return report
 
 
+def sound_type(kind: MachineType) -> bool:
+    """Whether a machine type can be reckoned with: sizes within bounds, no negative amounts."""
+    sizes = (kind.cpus, kind.memory_gb, kind.gpus)
+    others = (kind.fetch_gb_per_s, kind.price, kind.spot_price, kind.boot_s)
+    good = all(v == 0 or LEAST_SIZE <= v <= MOST_AMOUNT for v in sizes) and any(sizes)
+    return good and all(0 <= v <= MOST_AMOUNT for v in others)
+
+
 class _Named(msgspec.Struct):
     id: str = field(name="uid")
 
--- a/tests/test_bounds.py
+++ b/tests/test_bounds.py
@@ -315,6 +315,57 @@
     curio.run(drive)
 
 
+@pytest.mark.parametrize(
+    "kind",
+    [
+        api.MachineType("odd", 1e-320, 16.0, ["a"]),
+        api.MachineType("odd", -4.0, 16.0, ["a"]),
+        api.MachineType("odd", 0.0, 0.0, ["a"]),
+        api.MachineType("odd", 4.0, 1e300, ["a"]),
+        api.MachineType("odd", 4.0, 16.0, ["a"], fetch_gb_per_s=-1.0),
+    ],
+)
+def test_a_machine_type_that_can_not_be_is_set_aside(kind: api.MachineType) -> None:
+    async def drive() -> None:
+        site = Site()
+        await site.start()
+        before = dict(site.node.world.types)
+        site.node.world.learn_types([kind])
+        assert site.node.world.types == before
+        assert list(site.node.world.aside.found) == [("machine type", "odd")]
+        assert await site.submit(uid=GOOD, chores=2) == 201
+        await site.go_round(40)
+        assert (await site.ask("GET", f"{api.JOBS}/{GOOD}"))[1]["status"] == api.DONE
+
+    curio.run(drive)
+
+
+@pytest.mark.parametrize(
+    "event",
+    [
+        api.Event(9, "c/s/99", msgspec.Raw(b'{"node":0,"gen":1}')),
+        api.Event(9, "c/s/0", msgspec.Raw(b'{"node":"x"}')),
+        api.Event(9, "c/n/zero", msgspec.Raw(b"{}")),
+        api.Event(9, "c/i/99/j-1", msgspec.Raw(b"1")),
+        api.Event(9, "c/i/x/j-1", msgspec.Raw(b"1")),
+        api.Event(9, "c/q/99", msgspec.Raw(b"[[1,2]]")),
+        api.Event(9, "c/q/0", msgspec.Raw(b"[]")),
+        api.Event(9, "c/r/1-0-0", msgspec.Raw(b'{"text":1,"parts":1,"piece":"?"}')),
+        api.Event(9, delete="c/s/99"),
+    ],
+)
+def test_what_stands_under_the_cluster_keys_stops_nothing(event: api.Event) -> None:
+    async def drive() -> None:
+        site = Site()
+        await site.start()
+        await site.node.membership._event(event)
+        assert await site.submit(uid=GOOD, chores=2) == 201
+        await site.go_round(40)
+        assert (await site.ask("GET", f"{api.JOBS}/{GOOD}"))[1]["status"] == api.DONE
+
+    curio.run(drive)
+
+
 def test_bodies_are_refused_with_the_field_and_its_bound() -> None:
     for change, names in (
         ({"uid": "j-1\n"}, "uid"),
