--- a/starlingdeck/coordination/node.py
+++ b/starlingdeck/coordination/node.py
@@ -1,5 +1,6 @@
 """One controller: its loops, and the wiring between its parts."""
 
+import contextlib
 import logging
 from collections.abc import Callable
 
@@ -96,6 +97,7 @@
         )
         self.types_kept: list[api.MachineType] = []
         self.deleted: dict[str, float] = {}
+        self.notes: dict[str, int] = {}  # being acted on -> the newest version heard of
         self.fleet: Fleet | None = None
         self.kicked = False
 
@@ -282,18 +284,30 @@
             self.membership.synced = False
 
     async def _inbox(self, writer: Writer, name: str, key: str, version: int) -> None:
-        """Another node created or cancelled one of our jobs."""
+        """Another node created or cancelled one of our jobs.
+
+        One task a note: after a failure all notes are read again, and each reading brought
+        another task for every note that an earlier one was still busy with.
+        """
+        busy = key in self.notes
+        self.notes[key] = version
+        if busy:
+            return
         try:
-            async with writer.lock:
-                job = await writer.reload(name)
-            # Who cancelled waits for this. A note written anew meanwhile is another one.
-            urgent = job is None or job.cancelled
-            await self.state.txn({key: version}, [drop_key(key)], urgent)
-        except Conflict:
-            pass
+            dropped = 0
+            while dropped != self.notes[key]:
+                async with writer.lock:
+                    dropped = self.notes[key]
+                    job = await writer.reload(name)
+                # Who cancelled waits for this. A note written anew meanwhile is another one.
+                urgent = job is None or job.cancelled
+                with contextlib.suppress(Conflict):
+                    await self.state.txn({key: dropped}, [drop_key(key)], urgent)
         except (StateError, msgspec.DecodeError) as why:
             log.info("job %s: not read again: %s", name, why)
             self.membership.synced = False
+        finally:
+            del self.notes[key]
         await self.wake.set()
 
     # --- HTTP
--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -290,6 +290,39 @@
     curio.run(drive)
 
 
+def test_a_note_is_acted_on_by_one_task_however_often_it_is_read(deck: list[Deck]) -> None:
+    """A failure had all notes read again, and every reading started a task for each."""
+    deck.append(Deck(1))
+
+    async def drive() -> tuple[int, bool]:
+        await play(deck[0], [("submit", 0, 0, 0.5)])
+        node = deck[0].nodes[deck[0].holder]
+        writer, key = node.writers[SHARD], records.inbox_key(SHARD, JOB)
+        reads = 0
+        plain = writer.reload
+
+        async def reload(name: str) -> object:
+            nonlocal reads
+            reads += 1
+            return await plain(name)
+
+        writer.reload = reload  # type: ignore[method-assign, assignment]
+        await writer.lock.acquire()
+        tasks = []
+        for _ in range(5):
+            deck[0].state.apply({}, [put(key, 1)])
+            version = deck[0].state.epoch
+            tasks += [await curio.spawn(node._inbox, writer, JOB, key, version) for _ in range(9)]
+        async with curio.ignore_after(0.02):
+            await curio.Event().wait()
+        await writer.lock.release()
+        for task in tasks:
+            await task.join()
+        return reads, key in deck[0].state.keys or bool(node.notes)
+
+    assert curio.run(drive) == (1, False)
+
+
 PAIRS = st.sampled_from([frozenset(p) for p in ((0, 1), (0, 2), (1, 2))])
 
 
