--- a/starlingdeck/coordination/machines.py
+++ b/starlingdeck/coordination/machines.py
@@ -27,6 +27,7 @@
 RIDE_S = 5.0  # a worker waits 4 s for the answer to its report
 SWEEP_S = 1.0  # how often every machine is reconciled, changed or not
 LOOK_S = 0.2  # how often silence is looked for
+MOST_PROBES = 32  # calls at once that only ask who is there
 PRUNE_S = 60.0  # how often what is known of jobs that left no trace here is forgotten
 
 
@@ -646,20 +647,24 @@
             self.prune()
         due, self.due = self.due | self.kept, set()
         self.kept = set()
-        for index in due:
-            machine = self.machines.get(index)
-            if machine is None:
-                continue
+        found = [self.machines[i] for i in due if i in self.machines]
+        # Calls that hang would take the sockets that the state service is called on.
+        probes = MOST_PROBES - sum(m.busy and m.back is not None for m in found)
+        for machine in found:
             if self.world.rests("machine", machine.name):
-                self.due.add(index)
+                self.due.add(machine.index)
                 continue
             try:
-                if self._reconcile(machine, now):
-                    busy.append(machine)
+                if not self._reconcile(machine, now):
+                    continue
             except Exception as why:
                 # Nothing there may be called absent: it stays due.
                 self.world.set_aside("machine", machine.name, why)
-                self.due.add(index)
+                self.due.add(machine.index)
+                continue
+            probes -= machine.back is not None
+            if machine.back is None or probes >= 0:
+                busy.append(machine)
         self.settled = dict(self.acks)
         return busy
 
--- a/tests/test_machines.py
+++ b/tests/test_machines.py
@@ -1,7 +1,13 @@
 """The machine owner's part: reservations and preemption."""
 
 from starlingdeck.coordination.jobs import job_message, new_job
-from starlingdeck.coordination.machines import PRUNE_S, JobInfo, MachineShard, may_preempt
+from starlingdeck.coordination.machines import (
+    MOST_PROBES,
+    PRUNE_S,
+    JobInfo,
+    MachineShard,
+    may_preempt,
+)
 from starlingdeck.protocol import api
 from starlingdeck.protocol import peer_pb2 as pb
 from tests.build import Clock, make_world, spec
@@ -129,3 +135,22 @@
     clock.at += machines.settled_s + 0.1
     report(3, 8)
     assert ask(machines, "j-3", False) and machine.back is None
+
+
+def test_calls_that_only_ask_who_is_there_are_few_at_once() -> None:
+    """A controller cut off from its workers hears them through its peers, and each call to one of
+    them hangs: two hundred at once would leave no socket for the state service."""
+    clock = Clock()
+    machines = MachineShard(make_world(clock), 0, 3, 9, 0.0)
+    for number in range(3 * MOST_PROBES):
+        machines.take_report(api.Report(f"vm-{number}", "x", "small", "a", 1, 1, 3), True)
+    first = machines.reconcile()
+    for machine in first:
+        machine.busy = True
+    assert len(first) == MOST_PROBES and not machines.reconcile()
+    for machine in first:
+        machine.busy = False
+        report = api.Report(machine.name, "x", "small", "a", 1, 2, 3)
+        machines.take_report(report, False)
+    second = machines.reconcile()
+    assert len(second) == MOST_PROBES and not {m.index for m in first} & {m.index for m in second}
