--- a/tests/test_bounds.py
+++ b/tests/test_bounds.py
@@ -271,9 +271,7 @@
     curio.run(drive)
 
 
-def test_a_loop_that_stumbles_over_one_machine_serves_the_others(
-    monkeypatch: pytest.MonkeyPatch,
-) -> None:
+def test_a_loop_that_stumbles_over_one_machine_serves_the_others() -> None:
     async def drive() -> None:
         site = Site()
         await site.start()
@@ -283,7 +281,7 @@
         bad.type = None  # type: ignore[assignment]
         machines.touch(bad.index)
         await site.serves()
-        assert [key for key in site.node.world.aside.found] == [("machine", "vm-1")]
+        assert list(site.node.world.aside.found) == [("machine", "vm-1")]
 
     curio.run(drive)
 
