One question for all that holds a task back; preemption asks no more than the limit

Need: counts are to hold tasks back as quota does, and the scheduler is to ask one thing. Admission answers for all gates: how many more of a job's tasks may start, and why not; quota is its first gate. A gate with a durable side joins the transactions that start and end tasks.

Found on the way: a plan that found no machine for the one task within the team's limit asked for room by preemption for up to 32 of the job's tasks, and all that got room were started beyond the limit (rule quota). The limit is asked again there.

--- a/starlingdeck/coordination/gifts.py
+++ b/starlingdeck/coordination/gifts.py
@@ -1,15 +1,16 @@
-"""Which shards lack quota for what waits, and how others pass theirs on."""
+"""Quota as a gate: which shards lack it for what waits, and how others pass theirs on."""
 
 import logging
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 
 import curio
 import msgspec
 
+from starlingdeck.coordination.admission import Wait
 from starlingdeck.coordination.jobs import Job, JobShard
 from starlingdeck.coordination.membership import Membership
 from starlingdeck.coordination.quota import Pair, Quota
-from starlingdeck.coordination.world import World
+from starlingdeck.coordination.world import MANY, World
 from starlingdeck.coordination.writer import Writer
 from starlingdeck.storage import records
 from starlingdeck.storage.state import Conflict, StateClient, StateError, StateUnknown
@@ -52,16 +53,28 @@
     def spare(self, job: Job) -> int:
         """For how many more tasks of a job its shard has quota."""
         if not self.limited(job.team):
-            return 1_000_000
+            return MANY
         used = self.used(job.shard, job.team)
         share = self.quota.share(job.team, job.shard)
-        spare = 1_000_000
+        spare = MANY
         for size, have, gone in zip((job.spec.cpus, job.spec.gpus), share, used, strict=True):
             if size > 0:
                 spare = min(spare, int((have - gone) / size + 1e-9))
         return max(0, spare)
 
-    async def note_needs(self, jobs: list[Job]) -> None:
+    def waits(self, job: Job) -> list[Wait]:
+        if self.spare(job):
+            return []
+        used = f"the limit of team {job.spec.team!r} is used"
+        return [Wait(used, "an end of its work, or a higher limit")]
+
+    def picked(self, job: Job, tasks: int) -> None:
+        """Nothing to note: `used` counts what is asked for."""
+
+    def idle(self) -> None:
+        self.needs = {}
+
+    async def note(self, jobs: Sequence[Job]) -> None:
         """Which shards of ours lack quota for what waits; the others may pass some on."""
         wants: dict[tuple[int, int], Pair] = {}
         for job in jobs:
--- a/starlingdeck/coordination/jobs.py
+++ b/starlingdeck/coordination/jobs.py
@@ -39,6 +39,7 @@
     since: float = 0.0
     grace_s: float = 0.0
     shed: bool = False
+    yields: bool = False  # is to stop, for a unit that it holds
     target: "Place | None" = None  # where it goes once it has stopped (DESIGN 5)
     target_until: float = 0.0
 
@@ -68,6 +69,10 @@
     promised: dict[int, tuple[int, float]] = field(default_factory=dict)  # task -> machine, until
     hold_until: float = 0.0
     finished: int = 0
+    needs: tuple[tuple[int, int], ...] = ()  # units of counts that each task holds: count, units
+    withheld: set[int] = field(default_factory=set)  # starts that no unit is free for now
+    # Of tasks with needs: by what proof they ended, and when.
+    proofs: dict[int, tuple[str, float]] = field(default_factory=dict)
     stale: bool = False
     unsure: bool = False  # a write that ends or cancels it was sent: the record may say more
     first_pending: int = 0
@@ -144,6 +149,7 @@
         size_of(spec),
         array("B", bytes(n)),
         array("I", bytes(4 * n)),
+        needs=tuple((world.counts.put(k), v) for k, v in (spec.counts or {}).items() if v),
     )
 
 
@@ -210,6 +216,7 @@
         self.outs = [Out() for _ in range(world.shards)]
         self.here: dict[int, set[int]] = {}  # machine -> keys of the tasks recorded there
         self.shed: set[int] = set()  # keys of the tasks that their machine gives up
+        self.use: dict[int, int] = {}  # count -> units that the recorded attempts hold
 
     # --- the jobs, and where their tasks are
 
@@ -231,6 +238,8 @@
         key = task_key(job.index, task)
         self.here.setdefault(place.machine, set()).add(key)
         self.outs[place.shard].changed.add(key)
+        for count, units in job.needs:
+            self.use[count] = self.use.get(count, 0) + units
 
     def _leave(self, job: Job, task: int) -> None:
         place = job.places.pop(task)
@@ -244,6 +253,8 @@
         out = self.outs[place.shard]
         out.changed.discard(key)
         out.gone.add((key, place.machine))
+        for count, units in job.needs:
+            self.use[count] -= units
 
     def relist(self, job: Job, task: int) -> None:
         """What is wanted of a recorded task has changed: it is to stop."""
@@ -332,6 +343,8 @@
         if job.spec.service and why == api.W_DONE:
             why = api.W_ERROR
         job.ends[task] = why
+        if job.needs:
+            job.proofs[task] = (proof, self.world.now())
         self.dirty.add(job.index)
         target = place.target
         moves = target is not None and why != api.W_DONE and not job.cancelled
@@ -409,7 +422,7 @@
                 attempt=place.attempt,
                 machine=world.machines[place.machine],
                 session=place.session,
-                stop=job.cancelled or place.target is not None,
+                stop=job.cancelled or place.target is not None or place.yields,
                 grace_s=0.0 if job.cancelled else place.grace_s,
             )
         out.whole = False
@@ -425,6 +438,8 @@
             return None
         ends = {t: w for t, w in job.ends.items() if t in job.places}
         starts = {} if job.cancelled else dict(job.starts)
+        for task in job.withheld & starts.keys():
+            del starts[task]
         left = len(job.places) - len(ends)
         finished = job.finished + sum(1 for w in ends.values() if w == api.W_DONE)
         final = ""
--- a/starlingdeck/coordination/machines.py
+++ b/starlingdeck/coordination/machines.py
@@ -11,6 +11,7 @@
 
 import logging
 from collections.abc import Iterable
+from typing import Protocol
 
 from msgspec import Struct, field
 
@@ -31,6 +32,17 @@
 PRUNE_S = 60.0  # how often what is known of jobs that left no trace here is forgotten
 
 
+class Standing(Protocol):
+    """What preemption asks of a job."""
+
+    @property
+    def team(self) -> int: ...
+    @property
+    def rank(self) -> int: ...
+    @property
+    def guaranteed(self) -> bool: ...
+
+
 class JobInfo(Struct):
     """What a machine's owner must know of a job that runs there."""
 
@@ -890,7 +902,7 @@
             )
 
 
-def may_preempt(new: JobInfo, old: JobInfo, pressing: bool) -> bool:
+def may_preempt(new: Standing, old: Standing, pressing: bool) -> bool:
     """PROTOCOL, "Preemption": higher rank, or a guarantee against another team's surplus.
 
     Work of higher rank gives way to a guarantee only when that presses: at first there may
--- a/starlingdeck/coordination/node.py
+++ b/starlingdeck/coordination/node.py
@@ -7,6 +7,7 @@
 import curio
 import msgspec
 
+from starlingdeck.coordination.admission import Admission, Durable
 from starlingdeck.coordination.cloud import CloudClient, CloudError, Fleet, learn_types
 from starlingdeck.coordination.exchange import Exchange
 from starlingdeck.coordination.gifts import Gifts
@@ -49,6 +50,10 @@
 SLOW_S = 0.15  # an answer to a change after this is told at log level debug
 
 
+def _under(request: Request, path: str) -> bool:
+    return request.path == path or request.path.startswith(path + "/")
+
+
 class Node:
     def __init__(self, world: World) -> None:
         self.world = world
@@ -67,8 +72,18 @@
         self.peers = Peers(world, self.on_message, self.hello, self.on_again)
         self.writers: dict[int, Writer] = {}
         self.machines: dict[int, MachineShard] = {}
+        self.wake = curio.Event()
+        self.flush = curio.Event()
+        self.gifts = Gifts(world, self.state, self.membership, self.writers, self.wake)
+        self.admission = Admission([self.gifts])
         self.users = Users(
-            world, self.state, self.membership, self.peers, self.writers, self.kick_soon
+            world,
+            self.state,
+            self.membership,
+            self.peers,
+            self.writers,
+            self.admission,
+            self.kick_soon,
         )
         self.reports = Reports(world, self.membership, self.peers, self.machines)
         self.rooms = Rooms(world, self.membership, self.peers)
@@ -81,16 +96,13 @@
             self.machines,
             self.rooms,
         )
-        self.wake = curio.Event()
-        self.flush = curio.Event()
-        self.gifts = Gifts(world, self.state, self.membership, self.writers, self.wake)
         self.planner = Planner(
             world,
             self.membership,
             self.peers,
             self.writers,
             self.rooms,
-            self.gifts,
+            self.admission,
             self.on_reserve,
             self.wake,
             self.flush,
@@ -101,6 +113,10 @@
         self.fleet: Fleet | None = None
         self.kicked = False
 
+    def install(self, gate: Durable) -> None:
+        """Put a further kind of limit in force, before the start."""
+        self.admission.install(gate)
+
     # --- start
 
     async def run(self) -> None:
@@ -127,6 +143,8 @@
             self.types_loop,
             self.meters_loop,
         ]
+        if self.admission.durable is not None:
+            loops.append(self.admission.durable.run)
         await self.peers.run(frames)
         async with curio.TaskGroup() as group:
             for loop in loops:
@@ -140,6 +158,9 @@
             await curio.sleep(METERS_EVERY_S)
             for line in self.world.meters.lines():
                 log.info("%s", line)
+            if self.admission.durable is not None:
+                for line in self.admission.durable.lines():
+                    log.info("%s", line)
             if self.world.slices is not None:
                 for line in self.world.slices.lines():
                     log.debug("%s", line)
@@ -185,7 +206,7 @@
 
     async def gained(self, shard: int, token: int, gen: int, wait_s: float) -> None:
         jobs = JobShard(self.world, shard, token, gen)
-        self.writers[shard] = Writer(self.world, self.state, jobs)
+        self.writers[shard] = Writer(self.world, self.state, jobs, self.admission.durable)
         machines = MachineShard(self.world, shard, token, gen, wait_s)
         self.machines[shard] = machines
         for name in self.deleted:
@@ -257,6 +278,11 @@
                 await curio.spawn(self._inbox, writer, name, key, event.version, daemon=True)
         elif key.startswith(records.QUOTA):
             self.gifts.learn(key, event.value, event.version)
+        elif self.admission.durable is not None and key.startswith(self.admission.durable.prefix):
+            self.admission.durable.learn(key, bytes(event.value), event.version)
+            self.rooms.news = True
+            await self.wake.set()
+            await self.flush.set()
         elif (
             key.startswith(records.RELAY)
             and event.put
@@ -323,6 +349,8 @@
             if request.method not in ("GET", "HEAD"):
                 return fault(405, "use GET")
             return self.health()
+        elif self.admission.durable is not None and _under(request, self.admission.durable.path):
+            return await self.admission.durable.serve(request)
         else:
             began = self.world.now()
             response = await self.users.handle(request)
@@ -469,6 +497,8 @@
                 gpus=job.gpus,
                 rank=job.rank,
             )
+        if self.admission.durable is not None:
+            self.admission.durable.greet(out)
         return out
 
     async def on_hello(self, sender: int, hello: pb.Hello) -> None:
@@ -481,6 +511,8 @@
         ]
         for need in hello.needs:
             await self.gifts.give(need.team, need.shard, (need.cpus, need.gpus))
+        if self.admission.durable is not None:
+            self.admission.durable.greeted(sender, hello)
         fresh = [name for name in hello.deleted if name not in self.deleted]
         if fresh:
             self.note_deleted(fresh)
--- a/starlingdeck/coordination/planner.py
+++ b/starlingdeck/coordination/planner.py
@@ -6,8 +6,8 @@
 import curio
 
 from starlingdeck.coordination import placement, scheduler
+from starlingdeck.coordination.admission import Admission
 from starlingdeck.coordination.fleet import Demand
-from starlingdeck.coordination.gifts import Gifts
 from starlingdeck.coordination.jobs import Job, Place, job_message
 from starlingdeck.coordination.membership import Membership
 from starlingdeck.coordination.names import split_key
@@ -42,7 +42,7 @@
         peers: Peers,
         writers: Mapping[int, Writer],
         rooms: Rooms,
-        gifts: Gifts,
+        admission: Admission,
         reserve_here: Reserve,
         wake: curio.Event,
         flush: curio.Event,
@@ -52,7 +52,7 @@
         self.peers = peers
         self.writers = writers
         self.rooms = rooms
-        self.gifts = gifts
+        self.admission = admission
         self.reserve_here = reserve_here
         self.wake = wake
         self.flush = flush
@@ -115,7 +115,7 @@
         ]
         if not jobs and not any(w.shard.shed for w in self.writers.values()):
             self.demands[self.world.node] = (now, [])
-            self.gifts.needs = {}
+            self.admission.idle()
             return False
         self.rooms.news = False
         self.preempt_at = {job: at for job, at in self.preempt_at.items() if at > now}
@@ -124,16 +124,20 @@
         for writer in self.writers.values():
             for job in writer.shard.jobs.values():
                 writer.shard.set_guaranteed(job, job.id in inside)
-        await self.gifts.note_needs(jobs)
-        found = scheduler.Round(self.world, self.rooms.all(), self.gifts.spare, MOST_PICKS)
+        await self.admission.note(jobs)
+        found = scheduler.Round(self.world, self.rooms.all(), self.admission.spare, MOST_PICKS)
         for job in scheduler.order(self.world, jobs, self.world.wall_ms()):
             if self._waits(job):
-                await self._ask(self._guarded(job, found.place))
+                picks = self._guarded(job, found.place)
+                self.admission.picked(job, len(picks))
+                await self._ask(picks)
                 await self._give_way()
         self.demands[self.world.node] = (now, self._demand(found.waiting))
         for job, _ in found.waiting:
             if self._waits(job):
-                await self._ask(self._guarded(job, lambda j: self._preempting(j, found, now)))
+                picks = self._guarded(job, lambda j: self._preempting(j, found, now))
+                self.admission.picked(job, len(picks))
+                await self._ask(picks)
                 await self._give_way()
         await self._ask(self._moving(found.rooms, now))
         return True
@@ -180,7 +184,9 @@
         if not (job.spec.rank > 0 or job.guaranteed) or now < self.preempt_at.get(job.index, 0.0):
             return []
         self.preempt_at[job.index] = now + 0.5
-        tasks = job.ready(MOST_PRESSED, now)
+        # A plan that found no machine for one task asked for room for 32, whatever limit held the
+        # others back.
+        tasks = job.ready(min(MOST_PRESSED, self.admission.spare(job)), now)
         ranks = scheduler.stoppable_ranks(self.world, job)
         able = [r for r in found.allowed(job) if scheduler.may_yield(job, ranks, r)]
         able = scheduler.cheapest_stops(job, able, now, self.world.rng)
--- a/starlingdeck/coordination/scheduler.py
+++ b/starlingdeck/coordination/scheduler.py
@@ -174,7 +174,7 @@
 class Round:
     """One plan's picks for up to `most` waiting tasks, job by job, most urgent first.
 
-    `spare(job)` says for how many more tasks the job's shard has quota. Machines are looked
+    `spare(job)` says how many more of the job's tasks may start. Machines are looked
     through once for all jobs that allow the same ones.
     """
 
--- a/starlingdeck/coordination/users.py
+++ b/starlingdeck/coordination/users.py
@@ -6,6 +6,7 @@
 import curio
 import msgspec
 
+from starlingdeck.coordination.admission import Admission
 from starlingdeck.coordination.jobs import JobShard, new_job
 from starlingdeck.coordination.membership import Membership
 from starlingdeck.coordination.peers import PeerDown, Peers
@@ -71,6 +72,7 @@
         membership: Membership,
         peers: Peers,
         writers: dict[int, Writer],
+        admission: Admission,
         kick: Callable[[], None],
     ) -> None:
         self.world = world
@@ -78,6 +80,7 @@
         self.membership = membership
         self.peers = peers
         self.writers = writers
+        self.admission = admission
         self.kick = kick
         self.busy = 0
 
@@ -131,7 +134,7 @@
             return await self._look(spec.id) or fault(400, reason)
         if not self.world.types:
             return fault(503, "machine types not known yet")
-        reason = never(self.world, spec)
+        reason = never(self.world, spec) or await self.admission.refuse(spec)
         if reason:
             # A job that was accepted before is known, whatever the types are now.
             known = await self._look(spec.id)
@@ -230,6 +233,8 @@
             status = shard.status(job)
             if why := self.world.aside.why("job", name):
                 status.fault = f"set aside: {why}"
+            if job.needs and job.pending(1):
+                status.waits = [w.because for w in self.admission.waits(job)] or None
             return answer(200, status)
         if name in shard.finals:
             state = shard.finals[name]
--- a/starlingdeck/coordination/world.py
+++ b/starlingdeck/coordination/world.py
@@ -27,6 +27,7 @@
     zones: Names = field(default_factory=Names)
     type_names: Names = field(default_factory=Names)
     teams: Names = field(default_factory=Names)
+    counts: Names = field(default_factory=Names)
     types: dict[int, MachineType] = field(default_factory=dict)
     meters: Meters = field(default_factory=Meters)
     slices: Slices | None = None  # at log level debug
--- a/starlingdeck/coordination/writer.py
+++ b/starlingdeck/coordination/writer.py
@@ -5,6 +5,7 @@
 import curio
 import msgspec
 
+from starlingdeck.coordination.admission import Durable, Grant
 from starlingdeck.coordination.jobs import Draft, Job, JobShard, load_job
 from starlingdeck.coordination.world import World
 from starlingdeck.protocol import api
@@ -24,8 +25,11 @@
 class Writer:
     """One per job shard; `lock` keeps its transactions one after the other."""
 
-    def __init__(self, world: World, state: StateClient, shard: JobShard) -> None:
+    def __init__(
+        self, world: World, state: StateClient, shard: JobShard, gate: Durable | None = None
+    ) -> None:
         self.world = world
+        self.gate = gate
         self.state = state
         self.shard = shard
         self.lock = curio.Lock()
@@ -120,9 +124,11 @@
             if self.lost or not self.shard.loaded:
                 return False
             await self._reload_stale()
-            batch, wait_s = self._batch()
+            await self._settle()
+            grant = self.gate.open(self.shard) if self.gate is not None else None
+            batch, wait_s = self._batch(grant)
             if batch:
-                return await self._write(batch, pressing(batch[0]))
+                return await self._write(batch, pressing(batch[0]), grant)
         if wait_s > 0:
             await curio.sleep(min(wait_s, LOOK_S))
         return wait_s > 0
@@ -138,18 +144,34 @@
             if self.lost or not await self._write([self.shard.draft_cancel(current)], True):
                 raise StateError("the job's record changed; ask again")
 
+    async def _settle(self) -> None:
+        if self.gate is None:
+            return
+        try:
+            await self.gate.settle(self.shard)
+        except (StateError, Conflict) as why:
+            # Starts that need units wait for it; nothing else does.
+            log.info("shard %d: ledgers still in doubt: %r", self.shard.shard, why)
+        await self._reload_stale()
+
     async def _reload_stale(self) -> None:
         for job in [j for j in self.shard.jobs.values() if j.stale]:
             await self.reload(job.id)
 
-    def _batch(self) -> tuple[list[Draft], float]:
+    def _batch(self, grant: Grant | None = None) -> tuple[list[Draft], float]:
         """What to write now; or nothing, and how long until the budget has room for it."""
         most = self.world.settings.settings.state.txn_ops
         batch: list[Draft] = []
         changes, size = 0, 0
+        allowed = 4 * most  # conditions, by PROTOCOL
         ready = sorted(
             (self.shard.jobs[i] for i in self.shard.dirty if i in self.shard.jobs),
-            key=lambda j: (not (j.starts and j.spec.rank >= URGENT), -j.spec.rank, j.at_ms),
+            key=lambda j: (
+                not (j.needs and j.ends),  # they give units back that others wait for
+                not (j.starts and j.spec.rank >= URGENT),
+                -j.spec.rank,
+                j.at_ms,
+            ),
         )
         now = self.world.now()
         for job in ready:
@@ -159,12 +181,15 @@
             if self.world.rests("job", job.id):
                 continue
             try:
+                if grant is not None:
+                    grant.admit(job)
                 draft, length = self._fitting(job)
             except Exception as why:
                 self.world.set_aside("job", job.id, why)
                 continue
             if draft is None:
-                self.shard.dirty.discard(job.index)
+                if not job.withheld:
+                    self.shard.dirty.discard(job.index)
                 continue
             if not batch:
                 room, wait_s = self.state.writable(pressing(draft))
@@ -176,6 +201,14 @@
                 break
             if batch and (changes + len(draft.changes) > most or size + length > TXN_BYTES):
                 break
+            if grant is not None:
+                if not grant.add(draft):
+                    continue
+                ours, looks = grant.size()
+                looks += sum(len(d.conditions) for d in (*batch, draft))
+                if batch and (changes + len(draft.changes) + ours > most or looks > allowed):
+                    grant.drop()
+                    break
             batch.append(draft)
             changes += len(draft.changes)
             size += length
@@ -189,7 +222,8 @@
         job with a long description held up all writing of its shard.
         """
         limit = self.world.settings.settings.state.value_kb * 1000
-        draft, size = self.shard.draft(job), 0
+        # The ledgers of its counts need room in the same transaction.
+        draft, size = self.shard.draft(job, 1 if job.needs else 3), 0
         while draft is not None:
             sizes = [len(msgspec.json.encode(c)) for c in draft.changes]
             size = sum(sizes)
@@ -207,7 +241,7 @@
                 break
         return draft, size
 
-    async def _write(self, batch: list[Draft], urgent: bool) -> bool:
+    async def _write(self, batch: list[Draft], urgent: bool, grant: Grant | None = None) -> bool:
         conditions: dict[str, int] = {}
         changes: list[api.Change] = []
         for draft in batch:
@@ -215,6 +249,10 @@
             changes += draft.changes
             # Another node that reads the record may tell its user before we know.
             draft.job.unsure |= bool(draft.final or draft.cancel)
+        if grant is not None:
+            ours, more = grant.parts()
+            conditions.update(ours)
+            changes += more
         try:
             revision = await self.state.txn(conditions, changes, urgent)
         except Conflict as fault:
@@ -226,13 +264,18 @@
             for draft in batch:
                 if any(key in fault.failed for key in draft.conditions):
                     draft.job.stale = True
+            again = grant is not None and await grant.refused(fault.failed)
             await self._reload_stale()
-            return False
+            return again
         except StateUnknown:
             # It may have been executed, or may yet be: the next write's condition decides.
             for draft in batch:
                 draft.job.stale = True
+            if grant is not None:
+                grant.unknown()
             raise
+        if grant is not None:
+            grant.done(revision)
         for draft in batch:
             self.shard.commit(draft, revision)
         return True
--- a/starlingdeck/protocol/api.py
+++ b/starlingdeck/protocol/api.py
@@ -16,6 +16,7 @@
 HEALTH = "/up"
 REPORT = "/v1/report"
 COMMANDS = "/do"
+COUNTS = "/ops/counts"
 WORKER_STATUS = "/status"
 MACHINE_TYPES = "/machine_types"
 MACHINES = "/hosts"
@@ -52,7 +53,10 @@
 MOST_NAME = 120
 MOST_TYPES = 64
 MOST_TASKS = 100_000
+MOST_COUNTS = 16  # that a job may name
+MOST_UNITS = 1_000_000
 JOB_ID = re.compile(r"j-[0-9]{1,18}")
+COUNT = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,59}")
 NAME = re.compile(rf"[^\x00-\x1f\x7f]{{0,{MOST_NAME}}}")
 
 Attempt = Annotated[int, Meta(ge=0, lt=1 << 32)]
@@ -88,6 +92,8 @@
     types: list[str] | None = field(name="builds", default=None)
     zone: str | None = field(name="roost", default=None)
     deadline_s: Amount | None = field(name="due_s", default=None)
+    # Units of counts that each task holds while it is on its machine: ours, beside the protocol.
+    counts: dict[str, int] | msgspec.UnsetType | None = msgspec.UNSET
 
     @property
     def service(self) -> bool:
@@ -104,6 +110,7 @@
     done: int | None = None
     running: int | None = None
     fault: str | None = None  # why it is set aside: an addition to the protocol's fields
+    waits: list[str] | None = None  # so is this: for which units of counts
 
 
 class ErrorBody(msgspec.Struct):
@@ -281,6 +288,13 @@
     for name, values in names.items():
         if not all(NAME.fullmatch(value) for value in values):
             return f"{name}: at most {MOST_NAME} characters, none of them a control character"
+    if len(spec.counts or ()) > MOST_COUNTS:
+        return f"counts: at most {MOST_COUNTS}"
+    for name, units in (spec.counts or {}).items():
+        if not COUNT.fullmatch(name):
+            return f"counts: no name of a count: must match {COUNT.pattern}"
+        if not 0 <= units <= MOST_UNITS:
+            return f"counts.{name}: from 0 to {MOST_UNITS}"
     if len(spec.types or ()) > MOST_TYPES:
         return f"builds: at most {MOST_TYPES} names"
     sizes = {"cores": spec.cpus, "accelerators": spec.gpus, "ram_gb": spec.memory_gb}
--- a/starlingdeck/protocol/settings.py
+++ b/starlingdeck/protocol/settings.py
@@ -1,11 +1,14 @@
 """What the platform hands over (JSON) and what operators may tune (TOML)."""
 
+import types
 from pathlib import Path
-from typing import Annotated
+from typing import Annotated, Any, get_args, get_origin
 
 import msgspec
 from msgspec import Meta
 
+from starlingdeck.protocol.api import COUNT, MOST_UNITS
+
 Amount = Annotated[float, Meta(ge=0)]
 Positive = Annotated[float, Meta(gt=0)]
 Count = Annotated[int, Meta(ge=1)]
@@ -89,6 +92,26 @@
         return sorted([own] + [(p.name, p.zone, p.address) for p in self.peers])
 
 
+class DeclaredCount(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """A count as it is to be made; once made, what was changed while running holds."""
+
+    ceiling: Annotated[int, Meta(ge=0, le=MOST_UNITS)]
+    preempt: bool = False  # higher work that waits for a unit may stop lower work that holds it
+
+
+CountName = Annotated[str, Meta(pattern=rf"\A{COUNT.pattern}\Z")]
+
+
+class CountSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Section `counts`: counted resources (docs/counts.md)."""
+
+    declare: dict[CountName, DeclaredCount] = {}
+    patience_s: Positive = 1.0  # (start) a unit is left to better work of other shards
+    reserve_s: Positive = 30.0  # (start) units are kept for one task that needs many
+    turn_s: Positive = 2.0  # (start) an equal rank's earlier arrival that makes work better
+    idle_s: Positive = 0.3  # (start) a shard keeps a unit that came free
+
+
 class Tuning(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Operators' own settings. Values marked (start) are our starting values."""
 
@@ -109,6 +132,7 @@
     sick_errors: Count = 3  # (start) errors without a success that mark a machine
     suspect_machines: Count = 3  # (start) machines a job fails on before it is suspect
     stall_s: Positive = 10.0  # (start) a half-sent request ends after this
+    counts: CountSettings | None = None
 
 
 class Fault(Exception):
@@ -130,8 +154,12 @@
         if name not in raw:
             if field.required:
                 lines.append(f"{at}: missing")
-        elif isinstance(field.type, type) and issubclass(field.type, msgspec.Struct):
-            lines += faults_of(raw[name], field.type, at)
+        elif (inner := _table(field.type)) is not None:
+            lines += faults_of(raw[name], inner, at)
+        elif (inner := _table_of_tables(field.type)) is not None and isinstance(raw[name], dict):
+            for key, value in raw[name].items():
+                lines += faults_of(value, inner, f"{at}.{key}")
+            lines += _faulty_names(raw[name], field.type, at)
         else:
             try:
                 msgspec.convert(raw[name], field.type)
@@ -142,6 +170,27 @@
     return lines
 
 
+def _table(kind: Any) -> type[msgspec.Struct] | None:
+    """The struct that a field holds, if it is one, or one or nothing."""
+    kinds = get_args(kind) if isinstance(kind, types.UnionType) else (kind,)
+    found = [k for k in kinds if isinstance(k, type) and issubclass(k, msgspec.Struct)]
+    return found[0] if found else None
+
+
+def _table_of_tables(kind: Any) -> type[msgspec.Struct] | None:
+    return _table(get_args(kind)[1]) if get_origin(kind) is dict else None
+
+
+def _faulty_names(raw: dict[str, object], kind: Any, at: str) -> list[str]:
+    lines = []
+    for key in raw:
+        try:
+            msgspec.convert(key, get_args(kind)[0])
+        except msgspec.ValidationError as fault:
+            lines.append(f"{at}.{key}: {fault}")
+    return lines
+
+
 def load_settings(path: Path) -> Settings:
     try:
         raw = msgspec.json.decode(path.read_bytes())
--- a/starlingdeck/storage/records.py
+++ b/starlingdeck/storage/records.py
@@ -8,6 +8,8 @@
 t/SHARD/JOB/C   further tasks of a large job
 f/SHARD/JOB     the final state of a job, for ever
 c/q/TEAM        how a team's limit is split over the shards
+c/u/COUNT       a count's ceiling, and how many units each shard holds
+u/COUNT/N       the Nth change that an operator made to a count
 m/types         the machine types last seen
 """
 
@@ -24,6 +26,7 @@
 INBOX = "c/i/"
 RELAY = "c/r/"
 QUOTA = "c/q/"
+COUNTS = "c/u/"
 TYPES = "m/types"
 
 
@@ -103,6 +106,15 @@
     return f"{QUOTA}{team}"
 
 
+def count_key(count: str) -> str:
+    return f"{COUNTS}{count}"
+
+
+def change_key(count: str, number: int) -> str:
+    """Of an operator's change; they sort by number."""
+    return f"u/{count}/{number:08d}"
+
+
 def pack_done(state: "array[int]", first: int, done: int) -> str:
     bits = 0
     for i, value in enumerate(state[first : first + CHUNK]):
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -118,3 +118,31 @@
     assert lines[name] == "3 times, 2.500 s, longest 2.000 s"
     assert lines["ran main"].endswith("0.000 s, longest 0.000 s")
     assert slices.lines() == []
+
+
+def test_room_by_preemption_is_asked_for_no_more_tasks_than_the_limit_allows() -> None:
+    """A plan that found no machine for the few tasks within the team's limit asked machines to
+    stop lower work for 32 of the job's tasks, and all that got room were started."""
+    clock = Clock()
+    full = machine("vm-1", 0.0)
+    full.youngest_s.extend([5.0, -1.0, -1.0, -1.0])
+    node, jobs = planning_node(clock, full)
+    job = new_job(
+        node.world, spec(crew="blue", cores=0.5, ram_gb=0.1, chores=40, rank="prod"), 0, 1
+    )
+    jobs.jobs[job.index] = job
+    asked: list[int] = []
+
+    def reserve(msg: pb.Reserve) -> pb.Reserved:
+        asked.extend(spot.task for spot in msg.spots if msg.preempt)
+        return pb.Reserved()
+
+    async def drive() -> None:
+        await node.planner.plan()
+        await curio.sleep(0)
+
+    node.gifts.quota.learn(0, [(3.0, 0.0), (10.0, 0.0), (11.0, 0.0)], 9)
+    node.planner.reserve_here = reserve
+    node.peers.heard[0] = 1e9
+    curio.run(drive)
+    assert asked and len(asked) <= 6
