Counts: ledgers by compare-and-set, joined to the records of starts and ends

Need: jobs wait for units of a named count that is limited over the service. Off unless the operators' file has a section `counts`; then nothing of it is imported.

--- a/starlingdeck/cli.py
+++ b/starlingdeck/cli.py
@@ -6,9 +6,12 @@
 import random
 import sys
 import time
+from datetime import UTC, datetime
 from pathlib import Path
+from typing import Any
 
 import click
+import msgspec
 
 from starlingdeck import __version__
 from starlingdeck.protocol import api
@@ -87,7 +90,12 @@
     gc.set_threshold(20_000, 20, 50)
     if logging.getLogger().isEnabledFor(logging.DEBUG):
         world.slices = Slices(world.now)
-    curio.run(Node(world).run, activations=[world.slices] if world.slices else None)
+    node = Node(world)
+    if tuned.counts is not None:
+        from starlingdeck.counts.gate import Counts
+
+        node.install(Counts(world, node.state, node.membership, node.writers, tuned.counts))
+    curio.run(node.run, activations=[world.slices] if world.slices else None)
 
 
 @main.command()
@@ -109,20 +117,26 @@
     click.echo("ok")
 
 
-def _ask(server: str, method: str, path: str) -> None:
+def _call(server: str, method: str, path: str, body: bytes | None = None) -> str:
+    """One request; anything but an answer of 200 or 201 ends the command."""
     import http.client  # a controller's start doesn't wait for it
 
     try:
         conn = http.client.HTTPConnection(server, timeout=10)
-        conn.request(method, path)
+        conn.request(method, path, body)
         reply = conn.getresponse()
-        body = reply.read().decode("utf-8", "replace")
+        text = reply.read().decode("utf-8", "replace")
     except (OSError, http.client.HTTPException) as fault:
         click.echo(f"{server}: {fault}", err=True)
         sys.exit(1)
-    click.echo(body, err=reply.status != 200)
-    if reply.status != 200:
+    if reply.status not in (200, 201):
+        click.echo(text, err=True)
         sys.exit(1)
+    return text
+
+
+def _ask(server: str, method: str, path: str) -> None:
+    click.echo(_call(server, method, path))
 
 
 server_option = click.option(
@@ -146,6 +160,87 @@
     _ask(server, "POST", f"{api.JOBS}/{job}/{api.CANCEL}")
 
 
+@main.group()
+def counts() -> None:
+    """Counted resources: list, show, change (docs/counts.md)."""
+
+
+def _row(count: dict[str, Any]) -> str:
+    flags = [flag for flag in ("preempt", "removed") if count.get(flag)]
+    held = f"{sum(count['held'])} of {count['ceiling']} held"
+    return "  ".join([f"{count['name']:<24} {held:<22} rev {count.get('rev', 1)}", *flags])
+
+
+@counts.command("list")
+@server_option
+def counts_list(server: str) -> None:
+    """All counts: units held, ceiling, and the revision that `set` asks for."""
+    for count in msgspec.json.decode(_call(server, "GET", api.COUNTS))["counts"]:
+        click.echo(_row(count))
+
+
+@counts.command("show")
+@server_option
+@click.argument("name")
+def counts_show(server: str, name: str) -> None:
+    """One count, and the tasks that hold it at this controller's shards."""
+    count = msgspec.json.decode(_call(server, "GET", f"{api.COUNTS}/{name}"))
+    click.echo(_row(count))
+    for h in count.get("holders", []):
+        yields = "  told to stop" if h["yields"] else ""
+        click.echo(
+            f"  {h['task']} attempt {h['attempt']}: {h['units']} on {h['machine']}, "
+            f"{h['state']}{yields}"
+        )
+    shards = ", ".join(str(shard) for shard in count.get("shards", []))
+    click.echo(f"  held by shard: {count['held']}; listed are those of shards {shards or 'none'}")
+
+
+@counts.command("set")
+@server_option
+@click.argument("name")
+@click.argument("ceiling", type=click.IntRange(0, api.MOST_UNITS))
+@click.option("--rev", type=int, help="Only if it is still at this revision. Default: as it is.")
+@click.option("--stop", is_flag=True, help="Stop what is over it: lowest rank, youngest first.")
+@click.option("--preempt/--no-preempt", default=None, help="May higher work stop lower work?")
+@click.option("--by", default="", help="Who changes it, for the history.")
+def counts_set(
+    server: str, name: str, ceiling: int, rev: int | None, stop: bool, preempt: bool | None, by: str
+) -> None:
+    """Make a count, or change its ceiling. 0 closes it."""
+    _set(server, name, rev, ceiling=ceiling, stop=stop, preempt=preempt, by=by)
+
+
+@counts.command("remove")
+@server_option
+@click.argument("name")
+@click.option("--rev", type=int, help="Only if it is still at this revision. Default: as it is.")
+@click.option("--by", default="", help="Who removes it, for the history.")
+def counts_remove(server: str, name: str, rev: int | None, by: str) -> None:
+    """Take a count away: what waits for it waits on, new jobs that name it are refused."""
+    _set(server, name, rev, ceiling=0, removed=True, by=by)
+
+
+def _set(server: str, name: str, rev: int | None, **fields: Any) -> None:
+    if rev is None:
+        found = msgspec.json.decode(_call(server, "GET", api.COUNTS))["counts"]
+        rev = next((c.get("rev", 1) for c in found if c["name"] == name), 0)
+    body = msgspec.json.encode({"rev": rev, **fields})
+    click.echo(_row(msgspec.json.decode(_call(server, "POST", f"{api.COUNTS}/{name}", body))))
+
+
+@counts.command("history")
+@server_option
+@click.argument("name")
+def counts_history(server: str, name: str) -> None:
+    """The last changes that operators made, oldest first."""
+    for c in msgspec.json.decode(_call(server, "GET", f"{api.COUNTS}/{name}/history"))["changes"]:
+        at = datetime.fromtimestamp(c["at_ms"] / 1000, UTC).isoformat(timespec="seconds")
+        flags = [flag for flag in ("preempt", "removed", "stop") if c.get(flag)]
+        line = [f"{c['rev']:>4}  {at}  ceiling {c['ceiling']}", *flags, c.get("by", "")]
+        click.echo("  ".join(line).rstrip())
+
+
 def start() -> None:
     """run.py: the same as `starlingdeck run`, unless a command is named."""
     argv = sys.argv[1:]
