Counts: plain model, hard cases one by one, stand-ins and the operators' proof

The plain model looks at every change of the state service: no shard uses more than its ledger says, no start brings a count over its ceiling.

A shard that ends a task while the count is over its ceiling gives the unit back with the record of the end, also when tasks of its own wait.

--- /dev/null
+++ b/standins/engine.py
@@ -0,0 +1,39 @@
+"""The stand-in of a tariff engine: takes sessions and writes down how many are open.
+
+python -m standins.engine ADDRESS LOG
+A line of the log: seconds, "open", "close" or "done", task, attempt, machine, sessions then open.
+"""
+
+import sys
+import time
+from pathlib import Path
+
+import curio
+
+from starlingdeck.protocol.settings import split_address
+
+
+class Engine:
+    def __init__(self, path: Path) -> None:
+        self.log = path.open("a", buffering=1)
+        self.open = 0
+
+    def note(self, what: str, who: str) -> None:
+        self.log.write(f"{time.time():.3f} {what} {who} {self.open}\n")
+
+    async def session(self, sock: curio.io.Socket, _: object) -> None:
+        stream = sock.as_stream()
+        who = (await stream.readline()).decode().strip()
+        self.open += 1
+        self.note("open", who)
+        try:
+            if await stream.readline() == b"done\n":
+                self.note("done", who)
+        finally:
+            self.open -= 1
+            self.note("close", who)
+
+
+if __name__ == "__main__":
+    engine = Engine(Path(sys.argv[2]))
+    curio.run(curio.tcp_server, *split_address(sys.argv[1]), engine.session)
--- /dev/null
+++ b/standins/serve.py
@@ -0,0 +1,37 @@
+"""What all stand-ins share: answers, and a process that serves one address."""
+
+from collections.abc import Awaitable, Callable
+
+import curio
+import msgspec
+
+from starlingdeck.protocol.settings import split_address
+from starlingdeck.transport.server import HttpServer, Request, Response
+
+
+def answer(body: object = None, status: int = 200) -> Response:
+    return Response(status, msgspec.json.encode({} if body is None else body))
+
+
+def error(status: int, text: str) -> Response:
+    return answer({"error": text}, status)
+
+
+def query(request: Request) -> dict[str, str]:
+    return dict(part.split("=", 1) for part in request.query.split("&") if "=" in part)
+
+
+def serve(
+    address: str,
+    handler: Callable[[Request], Awaitable[Response]],
+    *loops: Callable[[], Awaitable[None]],
+) -> None:
+    """Serve until killed."""
+
+    async def main() -> None:
+        async with curio.TaskGroup() as group:
+            await group.spawn(HttpServer(split_address(address), handler, 2000, 60.0).run)
+            for loop in loops:
+                await group.spawn(loop)
+
+    curio.run(main)
--- a/starlingdeck/counts/gate.py
+++ b/starlingdeck/counts/gate.py
@@ -605,20 +605,20 @@
             elif (
                 found is not None
                 and found.held[self.shard.shard] > after
-                and key not in self.counts.heads
-                and key not in self.counts.plan.heads
-                and key not in self.counts.plan.taken
-                and not self._starting(count)
                 and not self.counts.in_doubt(*key)
+                and (found.removed or found.total > found.ceiling or not self._in_want(count))
             ):
-                # Nobody here waits for it: it goes back with the record of the end.
+                # It goes back with the record of the end.
                 self.new[count] = ledger.hold(found, self.shard.shard, after)
             self.use[count] = after
         self.drafts.append(draft)
         return True
 
-    def _starting(self, count: int) -> bool:
-        jobs = self.shard.jobs
+    def _in_want(self, count: int) -> bool:
+        """Whether tasks of this shard wait for units of a count, or are about to start."""
+        jobs, key, counts = self.shard.jobs, (self.shard.shard, count), self.counts
+        if key in counts.heads or key in counts.plan.heads or key in counts.plan.taken:
+            return True
         dirty = (jobs[i] for i in self.shard.dirty if i in jobs)
         return any(job.starts and count in dict(job.needs) for job in dirty if job.needs)
 
--- /dev/null
+++ b/tests/counted.py
@@ -0,0 +1,91 @@
+"""A plain model of counts: what the records of all jobs hold, and what ledgers say of it."""
+
+import random
+from collections import Counter
+from collections.abc import Callable
+from typing import Any, cast
+
+import msgspec
+
+from starlingdeck.coordination.membership import Membership
+from starlingdeck.coordination.world import World
+from starlingdeck.coordination.writer import Writer
+from starlingdeck.counts.gate import Counts
+from starlingdeck.counts.ledger import Ledger
+from starlingdeck.protocol import api
+from starlingdeck.protocol.settings import CountSettings
+from starlingdeck.storage import records
+from starlingdeck.storage.state import StateClient, put
+from tests.model import Broken, PlainClient, PlainState
+
+
+class CountedState(PlainState):
+    """Looks at every change: a start may never bring a count over its ceiling."""
+
+    def __init__(self, rng: random.Random) -> None:
+        super().__init__(rng)
+        self.used: Counter[str] = Counter()
+
+    def apply(self, conditions: dict[str, int], changes: list[api.Change]) -> list[str]:
+        failed = super().apply(conditions, changes)
+        if not failed:
+            self.check()
+        return failed
+
+    def use(self) -> Counter[tuple[str, int]]:
+        """Units by count and shard, from the records alone."""
+        found: Counter[tuple[str, int]] = Counter()
+        specs = {}
+        for key, (value, _) in self.keys.items():
+            if key.startswith("j/"):
+                main = msgspec.json.decode(value, type=records.JobRecord)
+                specs[key[2:]] = main.spec.counts or {}
+                for name, units in specs[key[2:]].items():
+                    found[(name, int(key.split("/")[1]))] += units * len(main.chunk.on)
+        for key, (value, _) in self.keys.items():
+            if key.startswith("t/"):
+                chunk = msgspec.json.decode(value, type=records.Chunk)
+                for name, units in specs.get(key[2:-5], {}).items():
+                    found[(name, int(key.split("/")[1]))] += units * len(chunk.on)
+        return found
+
+    def ledger(self, name: str) -> Ledger:
+        return msgspec.json.decode(self.keys[records.count_key(name)][0], type=Ledger)
+
+    def check(self) -> None:
+        total: Counter[str] = Counter()
+        for (name, shard), units in self.use().items():
+            if units and units > self.ledger(name).held[shard]:
+                raise Broken(f"shard {shard} uses {units} of {name}: {self.ledger(name)}")
+            total[name] += units
+        for name, units in total.items():
+            if units > self.used[name] and units > self.ledger(name).ceiling:
+                raise Broken(f"one too many of {name}: {units} of {self.ledger(name)}")
+        self.used = total
+
+    def set(self, name: str, ceiling: int, shards: int, **fields: Any) -> None:
+        """An operator's change."""
+        key = records.count_key(name)
+        old = self.ledger(name) if key in self.keys else Ledger(0, (0,) * shards, rev=0)
+        fields = {"removed": False, **fields}
+        new = msgspec.structs.replace(old, ceiling=ceiling, rev=old.rev + 1, **fields)
+        assert not self.apply({}, [put(key, new)])
+
+
+def gate_of(
+    world: World, client: PlainClient, writers: dict[int, Writer], **settings: Any
+) -> Counts:
+    return Counts(
+        world,
+        cast(StateClient, client),
+        cast(Membership, None),
+        writers,
+        CountSettings(**settings),
+    )
+
+
+def watch(gate: Counts, state: PlainState, luck: Callable[[], bool] = lambda: True) -> None:
+    """The ledgers' changes that the gate's controller hears of now."""
+    for key, (value, stamp) in state.keys.items():
+        if key.startswith(records.COUNTS) and luck():
+            gate.learn(key, value, stamp)
--- a/tests/model.py
+++ b/tests/model.py
@@ -360,7 +360,7 @@
             return
         name = f"j-{len(self.accepted):06d}"
         shard = job_shard(name, 2)
-        body = spec(name, chores=self.rng.randint(1, 3), cores=2.0)
+        body = self.body(name)
         for node in self.nodes:
             writer = node.jobs.get(shard)
             if writer is not None and node.valid() and writer.shard.loaded:
@@ -373,6 +373,9 @@
                     writer.shard.jobs[job.index] = job
                     self.accepted[name] = body.tasks
 
+    def body(self, name: str) -> api.JobSpec:
+        return spec(name, chores=self.rng.randint(1, 3), cores=2.0)
+
     def do_cancel(self) -> None:
         if not self.accepted:
             return
@@ -538,11 +541,15 @@
                 if not (writer.shard.loaded and node.valid()):
                     continue
                 for job in list(writer.shard.jobs.values()):
-                    for task in job.pending(2):
+                    for task in job.pending(self.allowed(node, job)):
                         self.reserve(node, job, task)
                     if job.starts:
                         writer.shard.dirty.add(job.index)
 
+    def allowed(self, node: PlainNode, job: Job) -> int:
+        """How many of a job's tasks a plan may place."""
+        return 2
+
     def reserve(self, node: PlainNode, job: Job, task: int) -> None:
         owners = [(n, s) for n in self.nodes for s in n.machines]
         if not owners:
--- /dev/null
+++ b/tests/test_counts.py
@@ -0,0 +1,330 @@
+"""Counts under crashes, cuts, late writes and operators: never one unit too many, none lost."""
+
+import random
+from collections import Counter
+
+import msgspec
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule, run_state_machine_as_test
+
+from starlingdeck.coordination.jobs import Job, JobShard, Place, new_job
+from starlingdeck.coordination.writer import Writer
+from starlingdeck.counts.gate import Counts
+from starlingdeck.protocol import api
+from starlingdeck.protocol import peer_pb2 as pb
+from starlingdeck.storage import records
+from starlingdeck.storage.state import StateError, put
+from tests.build import Clock, make_world, spec
+from tests.counted import CountedState, gate_of, watch
+from tests.model import Broken, Model, PlainClient, PlainNode, PlainWorker, at_once
+
+NAMES = ("engine", "seat")
+
+
+@pytest.fixture(autouse=True)
+def no_pauses(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def at_once_again(_: float) -> None:
+        pass
+
+    monkeypatch.setattr("starlingdeck.counts.gate.curio.sleep", at_once_again)
+
+
+class CountedModel(Model):
+    """The plain model, with jobs that need units of a count of 3."""
+
+    def __init__(self, seed: int, trouble: float) -> None:
+        self.gates: dict[int, Counts] = {}
+        super().__init__(seed, trouble)
+        self.state: CountedState
+        self.state.set("engine", 3, 2)
+
+    def fresh(self, number: int) -> PlainNode:
+        if not isinstance(self.state, CountedState):
+            self.state = CountedState(self.rng)
+        node = super().fresh(number)
+        self.gates[number] = gate_of(node.world, node.client, node.jobs)
+        return node
+
+    def body(self, name: str) -> api.JobSpec:
+        units = self.rng.choice([1, 1, 1, 2])
+        return spec(name, chores=self.rng.randint(1, 4), cores=2.0, counts={"engine": units})
+
+    def begins(self, worker: PlainWorker, name: str) -> None:
+        super().begins(worker, name)
+        running: Counter[str] = Counter()
+        for other in self.workers.values():
+            for task, seen in other.tasks.items():
+                if seen.state == "running":
+                    main = self.state.keys.get(records.job_key(0, task.split("/")[0])) or (
+                        self.state.keys.get(records.job_key(1, task.split("/")[0]))
+                    )
+                    counts = msgspec.json.decode(main[0])["spec"]["counts"] if main else {}
+                    running.update(counts)
+        if running["engine"] > 3:
+            raise Broken(f"{running} sessions at once")
+
+    def quiet_step(self) -> None:
+        """Like `step`, with nothing failing any more."""
+        self.clock.at += 0.1
+        for worker in self.workers.values():
+            worker.expire(self.clock.at)
+        for node in self.nodes:
+            self.renew(node)
+        verbs = ["own", "report", "serve", "mail", "mail", "mail", "write", "place", "orders"]
+        getattr(self, "do_" + self.rng.choice([*verbs, "work"]))()
+        self.check_told()
+        self.counted()
+
+    def step(self) -> None:
+        super().step()
+        self.counted()
+
+    def counted(self) -> None:
+        """What the gates do beside the writers' work."""
+        for node in self.nodes:
+            for writer in node.jobs.values():
+                writer.gate = self.gates[node.number]
+        gate = self.gates[self.rng.randrange(2)]
+        if not gate.state.cut:  # type: ignore[attr-defined]
+            watch(gate, self.state, lambda: self.rng.random() < 0.3)
+        if self.rng.random() < 0.05:
+            for node in self.nodes:
+                at_once(self.gates[node.number].note([]))
+                for writer in node.jobs.values():
+                    try:
+                        if writer.shard.loaded and node.valid():
+                            at_once(self.gates[node.number].release(writer))
+                    except StateError:
+                        continue
+
+    def allowed(self, node: PlainNode, job: Job) -> int:
+        gate = self.gates[node.number]
+        at_once(gate.note([job]))
+        # Now and then more is asked for than there is room for.
+        return 2 if self.rng.random() < 0.1 else min(2, gate.spare(job))
+
+
+@pytest.mark.parametrize("first", range(0, 24, 8))
+def test_never_one_unit_too_many_whatever_is_lost_or_late(first: int) -> None:
+    starts = 0
+    for seed in range(first, first + 8):
+        model = CountedModel(seed, trouble=0.15)
+        for _ in range(1500):
+            model.step()
+        starts += model.starts
+    assert starts > 30
+
+
+@pytest.mark.parametrize("seed", [3, 11])
+def test_every_job_ends_once_the_trouble_is_over_and_every_unit_comes_back(seed: int) -> None:
+    model = CountedModel(seed, trouble=0.15)
+    for _ in range(1200):
+        model.step()
+        if model.rng.random() < 0.01:
+            model.state.set("engine", model.rng.choice([1, 3]), 2)
+    model.settle()
+    model.state.set("engine", 3, 2)
+    for _ in range(9000):
+        model.quiet_step()
+    assert model.told_done | set(model.cancelled) == set(model.accepted) and model.accepted
+    assert model.state.ledger("engine").total == 0
+
+
+class Books(RuleBasedStateMachine):
+    """Three controllers' writers and gates on one state service; tasks end when the rules say.
+
+    What is recorded is compared with `CountedState`, a model of a few lines, at every change."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.clock = Clock()
+        self.state = CountedState(random.Random(5))
+        self.clients = [PlainClient(self.state, 0.0) for _ in range(3)]
+        self.gates: dict[int, Counts] = {}
+        self.writers: dict[int, tuple[int, Writer]] = {}  # shard -> node, writer
+        self.jobs = 0
+        self.ended: set[str] = set()
+        for name, ceiling in (("engine", 3), ("seat", 4)):
+            self.state.set(name, ceiling, 3)
+        self.worlds = [make_world(self.clock, node=i) for i in range(3)]
+        self.held: list[dict[int, Writer]] = [{} for _ in range(3)]
+        for shard in range(3):
+            self.restart(shard)
+            self.take(shard, shard)
+
+    @rule(node=st.integers(0, 2))
+    def restart(self, node: int) -> None:
+        """It forgets what it knew; its shards' keys are dropped as its lease would be."""
+        for shard in [s for s, (n, _) in self.writers.items() if n == node]:
+            del self.writers[shard]
+            self.state.keys.pop(records.shard_key(shard))
+        self.worlds[node] = make_world(self.clock, node=node)
+        self.held[node] = {}
+        self.gates[node] = gate_of(self.worlds[node], self.clients[node], self.held[node])
+        watch(self.gates[node], self.state)
+
+    @rule(shard=st.integers(0, 2), node=st.integers(0, 2))
+    def take(self, shard: int, node: int) -> None:
+        """A shard changes hands; its former holder may not know."""
+        if self.clients[node].cut:
+            return
+        old = self.state.keys.get(records.shard_key(shard), (b"", 0))[1]
+        change = put(records.shard_key(shard), records.ShardValue(node, 1))
+        assert not self.state.apply({records.shard_key(shard): old}, [change])
+        jobs = JobShard(self.worlds[node], shard, self.state.epoch, self.state.epoch)
+        gate = self.gates[node]
+        writer = Writer(self.worlds[node], gate.state, jobs, gate)
+        at_once(writer.load())
+        self.writers[shard] = (node, writer)
+        self.held[node][shard] = writer
+
+    @rule(shard=st.integers(0, 2), tasks=st.integers(1, 3), units=st.integers(0, 3),
+          seats=st.integers(0, 2))  # fmt: skip
+    def submit(self, shard: int, tasks: int, units: int, seats: int) -> None:
+        if shard not in self.writers:
+            return
+        node, writer = self.writers[shard]
+        self.jobs += 1
+        counts = {"engine": units, "seat": seats}
+        body = spec(f"j-{self.jobs}", chores=tasks, counts=counts)
+        record = put(records.job_key(shard, body.id), records.JobRecord(body, 0))
+        self.state.apply({}, [record])
+        job = new_job(self.worlds[node], body, shard, 0)
+        job.versions[0] = self.state.epoch
+        writer.shard.jobs[job.index] = job
+
+    def each(self) -> list[tuple[int, Writer]]:
+        """Every writer that somebody still takes for its own, also former holders'."""
+        return [(n, w) for n in range(3) for w in list(self.held[n].values()) if w.shard.loaded]
+
+    @rule(most=st.integers(1, 9), greedy=st.booleans())
+    def plan(self, most: int, greedy: bool) -> None:
+        """Starts for what waits, as many as the gate says, or more."""
+        for node, writer in self.each():
+            gate = self.gates[node]
+            at_once(gate.note(list(writer.shard.jobs.values())))
+            for job in writer.shard.jobs.values():
+                room = most if greedy else min(most, gate.spare(job))
+                for task in job.pending(room):
+                    number = self.worlds[node].machines.put(f"vm-{task}")
+                    attempt = job.tries[task] + 1
+                    zone = self.worlds[node].zones.put("a")
+                    job.starts[task] = Place(number, 1, attempt, 0, zone, since=self.clock.at)
+                    gate.picked(job, 1)
+                    writer.shard.dirty.add(job.index)
+
+    @rule(pick=st.integers(0, 50), done=st.booleans())
+    def end(self, pick: int, done: bool) -> None:
+        """A recorded task is proven to have ended."""
+        found = [(w, j, t) for _, (_, w) in self.writers.items() for j in w.shard.jobs.values()
+                 for t in j.places if t not in j.ends]  # fmt: skip
+        if found:
+            writer, job, task = found[pick % len(found)]
+            why = api.W_DONE if done else api.W_STOPPED
+            writer.shard._end(job, task, job.places[task], why, "exit")
+
+    @rule(pick=st.integers(0, 50))
+    def cancel(self, pick: int) -> None:
+        found = [(w, j) for _, w in self.each() for j in w.shard.jobs.values()]
+        if found:
+            writer, job = found[pick % len(found)]
+            try:
+                at_once(writer.cancel(job))
+            except StateError:
+                return
+
+    @rule(seconds=st.sampled_from([0.0, 0.4, 2.5]))
+    def write(self, seconds: float) -> None:
+        self.clock.at += seconds
+        for _, writer in self.each():
+            try:
+                at_once(writer.flush())
+            except StateError:
+                continue
+
+    @rule()
+    def release(self) -> None:
+        for node, writer in self.each():
+            try:
+                at_once(self.gates[node].release(writer))
+            except StateError:
+                continue
+
+    @rule(node=st.integers(0, 2))
+    def hear(self, node: int) -> None:
+        if not self.clients[node].cut:
+            watch(self.gates[node], self.state)
+
+    @rule(node=st.integers(0, 2), to=st.integers(0, 2))
+    def greet(self, node: int, to: int) -> None:
+        hello = pb.Hello()
+        self.gates[node].greet(hello)
+        self.gates[to].greeted(node, hello)
+
+    @rule(name=st.sampled_from(NAMES), ceiling=st.integers(0, 5), removed=st.booleans())
+    def set(self, name: str, ceiling: int, removed: bool) -> None:
+        self.state.set(name, ceiling, 3, removed=removed and ceiling == 0)
+
+    @rule(node=st.integers(0, 2), trouble=st.sampled_from([0.0, 0.5, 0.9]), cut=st.booleans())
+    def trouble(self, node: int, trouble: float, cut: bool) -> None:
+        self.clients[node].trouble, self.clients[node].cut = trouble, cut
+
+    @rule(pick=st.integers(0, 50))
+    def late(self, pick: int) -> None:
+        """A write whose sender has long given up."""
+        if self.state.late:
+            self.state.apply(*self.state.late.pop(pick % len(self.state.late)))
+
+    @invariant()
+    def what_a_shard_knows_is_what_is_recorded(self) -> None:
+        used = self.state.use()
+        for shard, (node, writer) in self.writers.items():
+            if any(job.stale for job in writer.shard.jobs.values()) or self.state.late:
+                continue
+            for name in NAMES:
+                count = self.worlds[node].counts.get(name)
+                known = writer.shard.use.get(count, 0) if count is not None else 0
+                assert known == used[(name, shard)]
+
+    def teardown(self) -> None:
+        """No more trouble: every job ends and every unit comes back, exactly once."""
+        for client in self.clients:
+            client.cut, client.trouble = False, 0.0
+        self.state.late.clear()
+        for name, ceiling in (("engine", 3), ("seat", 4)):
+            self.state.set(name, ceiling, 3)
+        for shard in range(3):
+            self.take(shard, shard)
+        self.held = [{shard: self.writers[shard][1]} for shard in range(3)]
+        for node in range(3):
+            self.gates[node].writers = self.held[node]
+        for _ in range(400):
+            if not any(w.shard.jobs for _, w in self.each()):
+                break
+            for node in range(3):
+                self.hear(node)
+                for to in range(3):
+                    self.greet(node, to)
+            self.plan(3, False)
+            self.write(0.4)
+            for pick in range(3):
+                self.end(pick, True)
+            self.release()
+            self.state.late.clear()
+        assert not any(w.shard.jobs for _, w in self.each())
+        self.clock.at += 5.0
+        for _ in range(3):
+            for node in range(3):
+                self.hear(node)
+            self.clock.at += 5.0
+            self.release()
+        assert self.state.ledger("engine").total == self.state.ledger("seat").total == 0
+
+
+def test_books_agree_with_the_plain_model_at_every_change() -> None:
+    run_state_machine_as_test(
+        Books,
+        settings=settings(derandomize=True, max_examples=80, stateful_step_count=40, deadline=None),
+    )
--- /dev/null
+++ b/tests/test_counts_hard.py
@@ -0,0 +1,478 @@
+"""Counts, one hard case at a time; and what operators see and do."""
+
+from pathlib import Path
+from typing import Any, cast
+
+import curio
+import msgspec
+import pytest
+from click.testing import CliRunner
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from starlingdeck.cli import main
+from starlingdeck.coordination.jobs import Job, JobShard, Place, new_job
+from starlingdeck.counts import ledger
+from starlingdeck.counts.gate import Counts
+from starlingdeck.counts.ledger import Ledger, Use, Waiter
+from starlingdeck.protocol import api
+from starlingdeck.protocol import peer_pb2 as pb
+from starlingdeck.protocol.settings import CountSettings, DeclaredCount, Fault, load_tuning
+from starlingdeck.storage import records
+from starlingdeck.storage.state import StateError, StateUnknown
+from tests.build import job_body, spec
+from tests.counted import CountedState, watch
+from tests.model import PlainClient, at_once
+from tests.test_bounds import Site
+from tests.test_counts import Books
+
+ROOT = Path(__file__).resolve().parents[1]
+
+
+class Desk(Books):
+    """One shard's books, played by hand."""
+
+    def __init__(self, ceiling: int, **fields: Any) -> None:
+        super().__init__()
+        self.state.set("engine", ceiling, 3, **fields)
+        self.hear(0)
+
+    @property
+    def gate(self) -> Counts:
+        return self.gates[0]
+
+    @property
+    def shard(self) -> JobShard:
+        return self.writers[0][1].shard
+
+    def job(self, units: int = 1, tasks: int = 1, **fields: Any) -> Job:
+        """One more job; `fields` are as its spec would have them."""
+        self.submit(0, tasks, units, 0)
+        job = list(self.shard.jobs.values())[-1]
+        job.spec = msgspec.structs.replace(job.spec, **fields)
+        job.at_ms = self.clock.wall_ms()
+        return job
+
+    def start(self, job: Job, task: int = 0) -> None:
+        place = Place(self.worlds[0].machines.put("vm-1"), 1, job.tries[task] + 1, 0,
+                      self.worlds[0].zones.put("a"), since=self.clock.at)  # fmt: skip
+        job.starts[task] = place
+        self.shard.dirty.add(job.index)
+
+    def room(self, *jobs: Job) -> list[int]:
+        """What a plan allows each, in this order, and takes."""
+        at_once(self.gate.note(jobs))
+        found = []
+        for job in jobs:
+            room = min(self.gate.spare(job), len(job.pending(9)))
+            self.gate.picked(job, room)
+            found.append(room)
+        return found
+
+    def flush(self) -> None:
+        at_once(self.writers[0][1].flush())
+
+    def finish(self, job: Job, task: int = 0) -> None:
+        self.shard._end(job, task, job.places[task], api.W_DONE, "exit done")
+
+    def total(self) -> int:
+        return self.state.ledger("engine").total
+
+
+def idle_unit(desk: Desk) -> tuple[Job, Job]:
+    """Two jobs that wait, and a unit that their shard holds and does not use."""
+    first, second, third = (desk.job() for _ in range(3))
+    desk.start(first)
+    desk.flush()
+    desk.room(second, third)
+    desk.finish(first)
+    desk.flush()
+    assert desk.total() == 1 and not desk.shard.use[0]
+    return second, third
+
+
+def test_a_late_start_within_what_its_shard_holds_finds_the_unit_gone() -> None:
+    """It leaves the ledger as it is, so that of another start only the job's own record, the
+    token and the ledger's stamp could tell; all three were as before."""
+    desk = Desk(1)
+    second, third = idle_unit(desk)
+    desk.start(second)
+    desk.clients[0].trouble = 2.0  # applied later, answered never
+    with pytest.raises(StateUnknown):
+        desk.flush()
+    desk.clients[0].trouble = 0.0
+    second.starts.clear()
+    desk.start(third)
+    desk.flush()
+    assert third.places
+    assert len(desk.state.late) == 1 and desk.state.apply(*desk.state.late.pop())
+
+
+def test_a_start_that_was_recorded_unheard_is_seen_before_the_next() -> None:
+    desk = Desk(1)
+    second, third = idle_unit(desk)
+    desk.start(second)
+    desk.clients[0].trouble = 2.0
+    with pytest.raises(StateUnknown):
+        desk.flush()
+    desk.clients[0].trouble = 0.0
+    (late,) = desk.state.late
+    second.starts.clear()
+    desk.start(third)
+    reread = desk.gate.reread
+
+    async def applied_first(count: int) -> None:
+        assert not desk.state.apply(*late)
+        desk.gate.reread = reread  # type: ignore[method-assign]
+        await reread(count)
+
+    desk.gate.reread = applied_first  # type: ignore[method-assign]
+    desk.flush()
+    again = desk.shard.jobs[second.index]
+    assert again.places and not third.places and third.withheld
+
+
+def test_a_late_release_takes_no_unit_from_a_task() -> None:
+    desk = Desk(1)
+    second, _ = idle_unit(desk)
+    desk.release()
+    desk.clock.at += 1.0
+    desk.clients[0].trouble = 2.0
+    with pytest.raises(StateUnknown):
+        at_once(desk.gate.release(desk.writers[0][1]))
+    desk.clients[0].trouble = 0.0
+    desk.start(second)
+    desk.flush()
+    assert second.places and desk.state.apply(*desk.state.late.pop())
+
+
+def test_a_unit_passes_from_task_to_task_at_no_change_of_its_own() -> None:
+    """The end and the next start are written as they would be without a count."""
+    desk = Desk(1)
+    first, second = desk.job(), desk.job()
+    desk.start(first)
+    desk.flush()
+    at = desk.state.keys[records.count_key("engine")][1]
+    desk.room(second)
+    desk.finish(first)
+    desk.start(second)
+    desk.flush()
+    assert second.places and desk.state.keys[records.count_key("engine")][1] == at
+
+
+def test_units_of_several_counts_are_taken_together_or_not_at_all() -> None:
+    desk = Desk(1)
+    desk.state.set("seat", 0, 3)
+    desk.hear(0)
+    desk.submit(0, 1, 1, 1)
+    (job,) = desk.shard.jobs.values()
+    assert desk.room(job) == [0]
+    desk.start(job)
+    desk.flush()
+    assert not job.places and desk.total() == 0 and job.withheld
+    desk.clock.at += 2.0
+    desk.flush()
+    assert not job.starts and job.retry_at[0] > desk.clock.at
+    whys = [w.because for w in desk.gate.waits(job)]
+    assert whys == ["1 of seat needed, its ceiling is 0"]
+
+
+def test_small_ones_do_not_pass_a_task_of_many_units_for_ever() -> None:
+    desk = Desk(3)
+    running, large = desk.job(), desk.job(units=3)
+    desk.start(running)
+    desk.flush()
+    small = [desk.job() for _ in range(3)]
+    assert desk.room(large, *small) == [0, 0, 0, 0]
+    desk.clock.at += desk.gate.settings.reserve_s + 1
+    assert desk.room(large, *small) == [0, 1, 1, 0]  # their turn
+    desk.clock.at += desk.gate.settings.reserve_s
+    assert desk.room(large, *small) == [0, 0, 0, 0]
+    desk.finish(running)
+    assert desk.room(large, *small) == [1, 0, 0, 0]
+
+
+def test_a_free_unit_is_left_to_better_work_elsewhere_for_a_while() -> None:
+    desk = Desk(1)
+    job = desk.job()
+    rival = pb.Hello()
+    rival.waits.add(count="engine", shard=1, job="j-9", rank=3, at_ms=desk.clock.wall_ms(), units=1)
+    desk.gate.greeted(1, rival)
+    assert desk.room(job) == [0]
+    desk.clock.at += 0.5
+    assert desk.room(job) == [0]
+    desk.clock.at += 0.6
+    assert desk.room(job) == [1]
+    desk.clock.at += 3.0  # a peer not heard of for long holds up nobody
+    assert desk.room(job) == [1]
+
+
+def test_a_unit_that_better_work_waits_for_elsewhere_is_given_back_at_once() -> None:
+    desk = Desk(1)
+    second, third = idle_unit(desk)
+    rival = pb.Hello()
+    rival.waits.add(count="engine", shard=1, job="j-9", rank=3, units=1)
+    desk.gate.greeted(1, rival)
+    desk.room(second, third)
+    desk.room(second, third)
+    at_once(desk.gate.release(desk.writers[0][1]))
+    assert desk.total() == 0
+
+
+def test_a_lowered_ceiling_stops_nothing_unless_it_is_set_so() -> None:
+    desk = Desk(3)
+    low, old, young = desk.job(priority="idle"), desk.job(), desk.job()
+    for job in (low, old, young):
+        desk.clock.at += 1.0
+        desk.start(job)
+        desk.flush()
+    waiting = desk.job()
+    desk.state.set("engine", 1, 3)
+    desk.hear(0)
+    desk.gate.stop_some()
+    desk.clock.at += 1.0
+    desk.gate.stop_some()
+    assert not any(job.places[0].yields for job in (low, old, young))
+    desk.finish(low)
+    assert desk.room(waiting) == [0]
+    desk.start(waiting)
+    desk.flush()
+    assert not waiting.places and desk.total() == 2
+    desk.state.set("engine", 1, 3, stop=True)
+    desk.hear(0)
+    desk.gate.stop_some()
+    desk.clock.at += 1.0
+    desk.gate.stop_some()
+    assert (old.places[0].yields, young.places[0].yields) == (False, True)
+    wants = desk.shard.wants(0, 1, True)
+    assert [item.stop for item in wants.items] == [
+        item.job == next(i for i, j in enumerate(wants.jobs) if j.id == young.id)
+        for item in wants.items
+    ]
+
+
+def test_higher_work_stops_lower_work_for_a_unit_only_where_it_is_switched_on() -> None:
+    for preempt in (False, True):
+        desk = Desk(1, preempt=preempt)
+        low, high = desk.job(), desk.job(priority="prod")
+        desk.start(low)
+        desk.flush()
+        for _ in range(3):
+            desk.room(high)
+            desk.clock.at += 1.0
+            desk.gate.stop_some()
+        assert low.places[0].yields is preempt
+
+
+USES = st.lists(
+    st.builds(Use, st.integers(0, 2), st.just("j-1"), st.integers(0, 9), st.integers(0, 1),
+              st.booleans(), st.integers(0, 3), st.integers(0, 9), st.integers(1, 3),
+              st.booleans()),
+    max_size=8, unique_by=lambda u: u.task,
+)  # fmt: skip
+
+
+@settings(derandomize=True, max_examples=200, deadline=None)
+@given(USES, st.integers(-1, 8))
+def test_no_more_is_stopped_than_is_needed(uses: list[Use], excess: int) -> None:
+    chosen = ledger.victims(uses, excess)
+    freed = [u.units for u in chosen]
+    assert sum(freed) >= min(excess, sum(u.units for u in uses))
+    assert not chosen or sum(freed[:-1]) < excess
+    fresh = [u for u in chosen if not u.yields]
+    kept = [u for u in uses if u not in chosen and not u.yields]
+    assert all(u.rank <= k.rank for u in fresh for k in kept)
+    new = Waiter(0, "j-2", 0, False, 2, 0, excess)
+    assert all(u.yields or u.rank < 2 for u in ledger.victims(uses, excess, new))
+
+
+class CountedSite(Site):
+    """A whole controller that keeps counts."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.state = CountedState(self.state.rng)
+        self.client = type(self.client)(self.state, 0.0)
+        self.settings = CountSettings({"engine": DeclaredCount(2)})
+
+    async def start(self) -> None:
+        await super().start()
+        node = self.node
+        self.gate = Counts(node.world, node.state, node.membership, node.writers, self.settings)
+        node.install(self.gate)
+        for writer in node.writers.values():
+            writer.gate = self.gate
+        watch(self.gate, self.state)
+        await self.gate.declare()
+
+    async def go_round(self, times: int) -> None:
+        for _ in range(times):
+            await super().go_round(1)
+            watch(self.gate, self.state)
+            for writer in self.node.writers.values():
+                await self.gate.release(writer)
+
+    async def post(self, name: str, **fields: Any) -> tuple[int, Any]:
+        return await self.ask("POST", f"{api.COUNTS}/{name}", msgspec.json.encode(fields))
+
+    def live(self) -> int:
+        return sum(t.state != "exited" for w in self.workers.values() for t in w.tasks.values())
+
+
+def test_a_controller_holds_tasks_back_and_a_restart_forgets_no_unit() -> None:
+    async def drive() -> None:
+        site = CountedSite()
+        await site.start()
+        await site.go_round(1)
+        assert await site.submit(uid="j-1", chores=9, counts={"engine": 1}) == 201
+        most = 0
+        for turn in range(120):
+            if turn in (9, 20):
+                await site.start()
+            await site.go_round(1)
+            most = max(most, site.live())
+        assert most == 2
+        assert (await site.ask("GET", f"{api.JOBS}/j-1"))[1]["status"] == api.DONE
+        assert cast(CountedState, site.state).ledger("engine").total == 0
+        assert not any(site.gate.in_doubt(0, c) for c in site.gate.ledgers)
+
+    curio.run(drive)
+
+
+@pytest.mark.parametrize(
+    ("counts", "status", "named"),
+    [
+        ({"engine": 1}, 201, ""),
+        ({"engine": 0, "other": 0}, 201, ""),
+        (None, 201, ""),
+        ({"engine": 3}, 422, "counts.engine"),
+        ({"other": 1}, 422, "counts.other"),
+        ({"engine": -1}, 400, "counts.engine"),
+        ({"engine": 1.5}, 400, "counts"),
+        ({"engine": "1"}, 400, "counts"),
+        ({"a/b": 1}, 400, "counts"),
+        ({f"c{i}": 1 for i in range(17)}, 400, "counts"),
+        (["engine"], 400, "counts"),
+    ],
+)
+def test_the_door_names_the_field_that_it_refuses(counts: Any, status: int, named: str) -> None:
+    async def drive() -> None:
+        site = CountedSite()
+        await site.start()
+        body = msgspec.json.encode(job_body("j-7", counts=counts))
+        code, told = await site.ask("POST", api.JOBS, body)
+        assert code == status and named in told.get("error", "")
+
+    curio.run(drive)
+
+
+def test_without_the_section_no_count_is_known() -> None:
+    async def drive() -> None:
+        site = Site()
+        await site.start()
+        assert await site.submit(counts={"engine": 1}) == 422
+        assert await site.submit(counts={}) == 201
+        # Taken while counts were on, it waits now.
+        job = new_job(site.node.world, spec("j-2", counts={"engine": 1}), 0, 0)
+        assert site.node.admission.spare(job) == 0 and site.node.admission.waits(job)
+
+    curio.run(drive)
+
+
+def test_two_operators_do_not_overwrite_each_other_unseen() -> None:
+    async def drive() -> None:
+        site = CountedSite()
+        await site.start()
+        assert (await site.post("engine", ceiling=5, rev=1, by="ana"))[0] == 200
+        assert (await site.post("engine", ceiling=1, rev=1, by="bor"))[0] == 409
+        assert (await site.post("seat", ceiling=4, rev=0))[0] == 201
+        assert (await site.post("seat", ceiling=-4, rev=1))[0] == 400
+        _, told = await site.ask("GET", api.COUNTS)
+        assert {c["name"]: c["ceiling"] for c in told["counts"]} == {"engine": 5, "seat": 4}
+        _, told = await site.ask("GET", f"{api.COUNTS}/engine/history")
+        assert [(c["ceiling"], c.get("by")) for c in told["changes"]] == [
+            (2, "declared"),
+            (5, "ana"),
+        ]
+        assert (await site.ask("GET", f"{api.COUNTS}/nothing"))[0] == 404
+        assert (await site.ask("DELETE", f"{api.COUNTS}/engine"))[0] == 405
+        site.client.cut = True
+        assert (await site.post("engine", ceiling=3, rev=2))[0] == 503
+
+    curio.run(drive)
+
+
+def test_what_waits_for_a_removed_count_waits_on_and_says_so() -> None:
+    async def drive() -> None:
+        site = CountedSite()
+        await site.start()
+        await site.post("engine", ceiling=0, rev=1)  # closed: to be opened again
+        assert await site.submit(uid="j-1", chores=1, counts={"engine": 1}) == 201
+        await site.post("engine", ceiling=0, rev=2, removed=True)
+        assert await site.submit(uid="j-2", chores=1, counts={"engine": 1}) == 422
+        await site.go_round(20)
+        _, told = await site.ask("GET", f"{api.JOBS}/j-1")
+        assert told["status"] == api.QUEUED and told["waits"] == ["count engine was removed"]
+        await site.post("engine", ceiling=1, rev=3)
+        await site.go_round(40)
+        assert (await site.ask("GET", f"{api.JOBS}/j-1"))[1]["status"] == api.DONE
+
+    curio.run(drive)
+
+
+def test_what_is_durable_holds_over_another_file(caplog: pytest.LogCaptureFixture) -> None:
+    async def drive() -> None:
+        site = CountedSite()
+        await site.start()
+        site.settings = CountSettings({"engine": DeclaredCount(7)})
+        with caplog.at_level("INFO"):
+            await site.start()
+        assert site.gate.ledgers[site.node.world.counts.put("engine")].ceiling == 2
+        assert "declared with ceiling 7" in caplog.text
+
+    curio.run(drive)
+
+
+def test_the_file_is_checked_and_every_fault_told(tmp_path: Path) -> None:
+    assert load_tuning(ROOT / "deploy" / "counts.toml").counts is not None
+    bad = tmp_path / "bad.toml"
+    bad.write_text(
+        '[counts]\npatience_s = 0\nodd = 1\n[counts.declare.a]\nceiling = -1\n'
+        '[counts.declare."b c"]\npreempt = 3\n'
+    )  # fmt: skip
+    with pytest.raises(Fault) as fault:
+        load_tuning(bad)
+    told = "\n".join(fault.value.lines)
+    for name in ("patience_s", "odd", "a.ceiling", "b c.ceiling: missing", "b c.preempt", "b c:"):
+        assert name in told, (name, told)
+    result = CliRunner().invoke(main, ["counts", "list", "--server", "127.0.0.1:1"])
+    assert result.exit_code == 1
+
+
+@settings(derandomize=True, max_examples=100, deadline=None)
+@given(st.binary(max_size=60) | st.builds(msgspec.json.encode, st.builds(
+    Ledger, st.integers(-1, 9), st.lists(st.integers(-1, 9), max_size=4).map(tuple))))  # fmt: skip
+def test_a_ledger_that_can_not_be_is_not_believed(value: bytes) -> None:
+    desk = Desk(3)
+    job = desk.job()
+    known = desk.gate.ledgers[0]
+    try:
+        desk.gate.learn(records.count_key("engine"), value, 10**6)
+    except (ValueError, msgspec.DecodeError):
+        assert desk.gate.ledgers[0] == known
+    else:
+        assert ledger.sound(desk.gate.ledgers[0], 3)
+    desk.room(job)
+    with pytest.raises((ValueError, StateError)):
+        desk.gate.learn(records.COUNTS + "a/b", value, 10**6)
+
+
+def test_a_client_that_is_cut_changes_nothing() -> None:
+    desk = Desk(1)
+    job = desk.job()
+    desk.start(job)
+    assert isinstance(desk.clients[0], PlainClient)
+    desk.clients[0].cut = True
+    with pytest.raises(StateError):
+        desk.flush()
+    assert not job.places and desk.total() == 0 and not desk.gate.doubts
