--- a/starlingdeck/counts/gate.py
+++ b/starlingdeck/counts/gate.py
@@ -472,7 +472,11 @@
             for at, told_uses in self.uses.values():
                 if now - at < HEARD_S:
                     uses += [u for c, u in told_uses if c == count and u.shard not in self.writers]
-            for use in ledger.victims(uses, excess, new):
+            # A peer that isn't heard chooses for itself: what nobody heard of uses counts as
+            # stopped already, so that both sides of a cut don't stop the same number.
+            kept = self.ledgers[count].total - excess
+            known = sum(use.units for use in uses)
+            for use in ledger.victims(uses, known - kept, new):
                 if use.shard in self.writers and not use.yields:
                     self._stop(use, count)
 
