--- a/tests/test_counts_hard.py
+++ b/tests/test_counts_hard.py
@@ -12,6 +12,7 @@
 
 from starlingdeck.cli import main
 from starlingdeck.coordination.jobs import Job, JobShard, Place, new_job
+from starlingdeck.coordination.sights import Sight
 from starlingdeck.counts import ledger
 from starlingdeck.counts.gate import Counts
 from starlingdeck.counts.ledger import Use, Waiter
@@ -253,6 +254,81 @@
     ]
 
 
+def test_both_sides_of_a_cut_stop_no_more_than_is_over() -> None:
+    desk = Desk(3)
+    here = [desk.job() for _ in range(2)]
+    for job in here:
+        desk.start(job)
+        desk.flush()
+    desk.submit(1, 1, 1, 0)
+    desk.hear(1)
+    (there,) = desk.writers[1][1].shard.jobs.values()
+    there.starts[0] = Place(0, 1, 1, 0, desk.worlds[1].zones.put("a"))
+    desk.worlds[1].machines.put("vm-1")
+    desk.writers[1][1].shard.dirty.add(there.index)
+    desk.write(0.0)
+    assert desk.total() == 3
+    desk.state.set("engine", 1, 3, stop=True)
+    for node in (0, 1):
+        desk.hear(node)
+        desk.gates[node].stop_some()
+    desk.clock.at += 1.0
+    for node in (0, 1):
+        desk.gates[node].stop_some()
+    assert sum(job.places[0].yields for job in here) == 1 and not there.places[0].yields
+
+
+def view(seen: bool, proof: str, desk: Desk) -> pb.View:
+    """How the machine of attempt 1 of the first task is shown, with or without a proof."""
+    sent = desk.shard.outs[0].seq
+    found = pb.View(shard=0, gen=1, seq=1, valid=proof != "not valid", whole=True)
+    found.acks.add(shard=0, token=desk.shard.base, seq=sent if proof != "list on its way" else 0)
+    if proof == "gone":
+        found.dead.append("vm-1")
+        return found
+    machine = found.machines.add(id="vm-1", type="small", zone="a", session=1, fenced=True)
+    machine.session = 2 if proof == "newer session" else 1
+    machine.dead = proof in ("lease over", "not valid")
+    machine.fenced = proof != "start on its way"
+    if seen:
+        state = api.EXITED if proof in ("exit", "halted") else api.ON
+        why = {"exit": api.W_DONE, "halted": api.W_STOPPED}.get(proof, api.W_NONE)
+        machine.tasks.add(job="j-1", task=0, attempt=1, state=state, why=why)
+    return found
+
+
+@pytest.mark.parametrize(
+    ("seen", "proof", "frees"),
+    [
+        (True, "exit", True),
+        (True, "halted", True),
+        (False, "gone", True),
+        (False, "newer session", True),
+        (True, "lease over", True),
+        (False, "not started", True),
+        (True, "running", False),
+        (True, "not valid", False),
+        (False, "list on its way", False),
+        (False, "start on its way", False),
+    ],
+)
+def test_a_unit_comes_back_once_and_only_by_proof(seen: bool, proof: str, frees: bool) -> None:
+    desk = Desk(1)
+    job = desk.job()
+    desk.start(job)
+    desk.flush()
+    desk.shard.wants(0, 1, True)
+    sight = Sight(desk.worlds[0], 0, 1)
+    sight.take(view(seen, proof, desk))
+    for _ in range(2):
+        desk.shard.apply_view(sight, None)
+        desk.flush()
+        desk.clock.at += 1.0
+        at_once(desk.gate.release(desk.writers[0][1]))
+    assert desk.total() == (0 if frees else 1) and desk.shard.use[0] == desk.total()
+    assert bool(job.places) is not frees
+
+
 def test_higher_work_stops_lower_work_for_a_unit_only_where_it_is_switched_on() -> None:
     for preempt in (False, True):
         desk = Desk(1, preempt=preempt)
