--- a/scripts/counts_proof.py
+++ b/scripts/counts_proof.py
@@ -237,7 +237,7 @@
         "seconds": round(ended - began, 1),
         "use": round(held / (site.ceiling * (ended - began)), 3),
         "from a session's end to the next start p50/p99 s": [
-            round(idle[int(len(idle) * share)], 3) for share in (0.5, 0.99)
+            round(idle[int(len(idle) * share)], 3) for share in (0.5, 0.99) if idle
         ],
         "trouble": dict(trouble.told),
         "as it should be": max(n for _, what, _, n in events if what == "open") <= site.ceiling
@@ -265,8 +265,12 @@
         await curio.sleep(0.5)
     await nuisance.cancel()
     ended = await site.until({200}, "GET", "/stats", site.state)
-    changes = round((ended["changes"] - began["changes"]) / jobs, 2)
-    more = {"state changes a job": changes, "jobs not told done": len(left)}
+    stats = {name: ended[name] - began[name] for name in ended}
+    more = {
+        "state changes a job": round(stats["changes"] / jobs, 2),
+        "writes refused for a condition": round(stats["refused"] / max(1, stats["writes"]), 3),
+        "jobs not told done": len(left),
+    }
     return judge(site, jobs, trouble) | more
 
 
--- a/standins/state.py
+++ b/standins/state.py
@@ -1,7 +1,7 @@
 """A state service: compare-and-set transactions, leases, watches, and outages on request.
 
 python -m standins.state ADDRESS; POST /out with {"seconds": 5} starts an outage;
-GET /stats tells how many changes were made.
+GET /stats tells of changes made, writes asked for, and those refused for a condition.
 """
 
 import sys
@@ -26,7 +26,7 @@
         self.changes: list[api.Event] = []
         self.leases: dict[int, tuple[float, float]] = {}  # end, length in seconds
         self.out_until = 0.0
-        self.written = 0
+        self.written = self.writes = self.refused = 0
         self.changed = curio.Event()
 
     @property
@@ -42,7 +42,7 @@
             self.leases = {k: (self.out_until + ttl, ttl) for k, (_, ttl) in self.leases.items()}
             return answer()
         if path == "/stats":
-            return answer({"changes": self.written})
+            return answer({"changes": self.written, "writes": self.writes, "refused": self.refused})
         if self.out:
             return error(503, "out")
         if path == api.TXN and post:
@@ -74,6 +74,8 @@
         stamps = {c.key: self.keys[c.key].version if c.key in self.keys else 0
                   for c in body.conditions}  # fmt: skip
         failed = [c.key for c in body.conditions if stamps[c.key] != c.version]
+        self.writes += bool(body.changes)
+        self.refused += bool(failed)
         if failed:
             return answer({"failed": failed, "epoch": self.epoch}, 409)
         if body.changes:
