--- a/starlingdeck/counts/gate.py
+++ b/starlingdeck/counts/gate.py
@@ -114,8 +114,8 @@
     def key(self, count: int) -> str:
         return records.count_key(self.world.counts[count])
 
-    async def reread(self, count: int) -> None:
-        entry = await self.state.get(self.key(count), True)
+    async def reread(self, name: str) -> None:
+        entry = await self.state.get(records.count_key(name), True)
         if entry is not None:
             self.learn(entry.key, bytes(entry.value), entry.version)
 
@@ -269,9 +269,9 @@
         for name, units in counts.items():
             if not self._takes(name, units):
                 # The watch may lag behind the operator who has just declared it.
-                await self.reread(self.world.counts.put(name))
+                await self.reread(name)
             if not self._takes(name, units):
-                known = self.ledgers.get(self.world.counts.put(name))
+                known = self._known(name)
                 if known is None or known.removed:
                     return f"counts.{name}: no such count"
                 return f"counts.{name}: {units} is more than its ceiling, {known.ceiling}"
@@ -280,10 +280,14 @@
     def _takes(self, name: str, units: int) -> bool:
         """Whether a count is known and a task could ever hold that many of it. A closed one is
         expected to be opened again."""
-        count = self.world.counts.get(name)
-        now = self.ledgers.get(count) if count is not None else None
+        now = self._known(name)
         return now is not None and not now.removed and (units <= now.ceiling or not now.ceiling)
 
+    def _known(self, name: str) -> Ledger | None:
+        """Users may ask for any name: none is kept that has no ledger."""
+        count = self.world.counts.get(name)
+        return self.ledgers.get(count) if count is not None else None
+
     # --- grant and release
 
     def open(self, shard: JobShard) -> "Taking":
@@ -304,7 +308,7 @@
             return
         if doubt.shard is shard:
             for count, stamp in list(doubt.stamps.items()):
-                await self.reread(count)
+                await self.reread(self.world.counts[count])
                 if self.stamps[count] <= stamp:
                     conditions = {
                         self.key(count): stamp,
@@ -355,7 +359,8 @@
         return any(own is None or ledger.better(w, own, turn_ms) for w in others)
 
     async def _write_back(self, shard: JobShard, back: dict[int, Ledger]) -> None:
-        conditions = {self.key(count): self.stamps[count] for count in back}
+        stamps = {count: self.stamps[count] for count in back}
+        conditions = {self.key(count): stamp for count, stamp in stamps.items()}
         conditions[records.shard_key(shard.shard)] = shard.token
         changes = [put(self.key(count), new) for count, new in back.items()]
         try:
@@ -364,7 +369,7 @@
             await self.reread_failed(fault.failed)
             return
         except StateUnknown:
-            self.doubt(shard, {count: self.stamps[count] for count in back}, [])
+            self.doubt(shard, stamps, [])
             raise
         for count, new in back.items():
             self.keep(count, new, version)
@@ -388,7 +393,7 @@
         if ours:
             await curio.sleep(self.world.rng.uniform(*CONFLICT_S))
         for key in ours:
-            await self.reread(self.world.counts.put(key[len(self.prefix) :]))
+            await self.reread(key[len(self.prefix) :])
         return bool(ours)
 
     # --- between controllers
@@ -523,7 +528,7 @@
                     version = await self.state.txn({self.key(count): 0}, puts)
                     self.keep(count, new, version)
                 except Conflict:
-                    await self.reread(count)
+                    await self.reread(name)
             found = self.ledgers[count]
             if (found.ceiling, found.preempt, found.removed) != (
                 wanted.ceiling,
--- a/tests/test_counts_hard.py
+++ b/tests/test_counts_hard.py
@@ -124,10 +124,10 @@
     desk.start(third)
     reread = desk.gate.reread
 
-    async def applied_first(count: int) -> None:
+    async def applied_first(name: str) -> None:
         assert not desk.state.apply(*late)
         desk.gate.reread = reread  # type: ignore[method-assign]
-        await reread(count)
+        await reread(name)
 
     desk.gate.reread = applied_first  # type: ignore[method-assign]
     desk.flush()
@@ -444,6 +444,18 @@
     curio.run(drive)
 
 
+def test_names_that_users_make_up_are_not_kept() -> None:
+    async def drive() -> None:
+        site = CountedSite()
+        await site.start()
+        known = len(site.node.world.counts.text)
+        for i in range(30):
+            assert await site.submit(uid=f"j-{i}", counts={f"made-up-{i}": 1}) == 422
+        assert len(site.node.world.counts.text) == known
+
+    curio.run(drive)
+
+
 def test_without_the_section_no_count_is_known() -> None:
     async def drive() -> None:
         site = Site()
