Counts: a controller that keeps none records no start that needs units

Need: moved from an overfull machine there, a counted task's next start went into its record without the ledger.

--- a/scripts/counts_size.py
+++ b/scripts/counts_size.py
@@ -8,6 +8,7 @@
 import resource
 import sys
 import time
+from collections.abc import Iterator
 from pathlib import Path
 
 import click
@@ -15,13 +16,17 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
 
-from starlingdeck.coordination.jobs import JobShard, new_job
+from starlingdeck.coordination.jobs import JobShard, Place, new_job
 from starlingdeck.coordination.membership import Holder
 from starlingdeck.coordination.node import Node
 from starlingdeck.coordination.sights import Sight
 from starlingdeck.coordination.writer import Writer
+from starlingdeck.protocol import api
 from starlingdeck.protocol import peer_pb2 as pb
+from starlingdeck.storage import records
+from starlingdeck.storage.state import put
 from tests.build import Clock, make_world, spec
+from tests.model import PlainClient, PlainState, at_once
 
 
 @click.command()
@@ -55,6 +60,7 @@
 
         gate = Counts(node.world, node.state, node.membership, node.writers, CountSettings())
         node.install(gate)
+        node.writers[0].gate = gate
         for i in range(counts):
             gate.keep(node.world.counts.put(f"c-{i}"), Ledger(3, (0, 0, 0)), 1)
     before_kb = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
@@ -83,6 +89,51 @@
     print(f"{jobs * tasks} tasks wait, {counts} counts, {machines} machines")
     print(f"a plan takes {median_ms:.1f} ms of processor time, most {most_ms:.1f}")
     print(f"the jobs take {(after_kb - before_kb) / 1024:.1f} MB")
+    for what, starts, changes in turns(node, shard):
+        print(f"{what}: {starts} starts, {changes / max(1, starts):.2f} state changes each")
+
+
+class CountingState(PlainState):
+    written = 0
+
+    def apply(self, conditions: dict[str, int], changes: list[api.Change]) -> list[str]:
+        self.written += len(changes)
+        return super().apply(conditions, changes)
+
+
+def turns(node: Node, shard: JobShard) -> Iterator[tuple[str, int, int]]:
+    """Starts of up to 3 tasks a job from nothing, then in the place of others that end."""
+    state = CountingState(random.Random(1))
+    writer, gate = node.writers[0], node.admission.durable
+    writer.state = PlainClient(state, 0.0)  # type: ignore[assignment]
+    puts = [put(records.shard_key(0), 0)]
+    for job in shard.jobs.values():
+        puts.append(put(records.job_key(0, job.id), 0))
+        job.versions[0] = 2
+    if gate is not None:
+        gate.state = writer.state  # type: ignore[attr-defined]
+        for count, found in gate.ledgers.items():  # type: ignore[attr-defined]
+            puts.append(put(gate.key(count), found))  # type: ignore[attr-defined]
+            gate.stamps[count] = 2  # type: ignore[attr-defined]
+    state.apply({}, puts)
+    shard.token = state.epoch
+    zone, machine = node.world.zones.put("a"), node.world.machines.put("vm-0")
+    for what in ("from nothing", "in the place of others"):
+        state.written = starts = 0
+        for job in shard.jobs.values():
+            for task, place in job.places.items():
+                shard._end(job, task, place, api.W_DONE, "exit done")
+        at_once(node.admission.note(list(shard.jobs.values())))
+        for job in shard.jobs.values():
+            found = job.pending(min(3, node.admission.spare(job)))
+            for task in found:
+                job.starts[task] = Place(machine, 1, job.tries[task] + 1, 0, zone, since=1e9)
+                shard.dirty.add(job.index)
+            node.admission.picked(job, len(found))
+            starts += len(found)
+        while at_once(writer.flush()):
+            pass
+        yield what, starts, state.written
 
 
 if __name__ == "__main__":
--- a/starlingdeck/coordination/writer.py
+++ b/starlingdeck/coordination/writer.py
@@ -183,6 +183,9 @@
             try:
                 if grant is not None:
                     grant.admit(job)
+                elif job.needs:
+                    # Accepted by a controller that keeps counts: moved here, it would start.
+                    job.withheld = frozenset(job.starts)
                 draft, length = self._fitting(job)
             except Exception as why:
                 self.world.set_aside("job", job.id, why)
--- a/tests/test_counts_hard.py
+++ b/tests/test_counts_hard.py
@@ -444,6 +444,21 @@
     curio.run(drive)
 
 
+def test_each_replica_of_a_daemon_holds_its_own_units() -> None:
+    async def drive() -> None:
+        site = CountedSite()
+        await site.start()
+        body = {"shape": "daemon", "guess_s": 0.0, "chores": 3, "counts": {"engine": 1}}
+        assert await site.submit(uid="j-1", **body) == 201
+        await site.go_round(12)
+        assert site.live() == 2 == cast(CountedState, site.state).ledger("engine").total
+        assert (await site.ask("POST", f"{api.JOBS}/j-1/{api.CANCEL}"))[0] == 200
+        await site.go_round(20)
+        assert site.live() == 0 == cast(CountedState, site.state).ledger("engine").total
+
+    curio.run(drive)
+
+
 def test_names_that_users_make_up_are_not_kept() -> None:
     async def drive() -> None:
         site = CountedSite()
@@ -460,11 +475,18 @@
     async def drive() -> None:
         site = Site()
         await site.start()
+        await site.go_round(1)
         assert await site.submit(counts={"engine": 1}) == 422
         assert await site.submit(counts={}) == 201
         # Taken while counts were on, it waits now.
         job = new_job(site.node.world, spec("j-2", counts={"engine": 1}), 0, 0)
         assert site.node.admission.spare(job) == 0 and site.node.admission.waits(job)
+        writer = site.node.writers[0]
+        job.versions[0] = 0
+        job.starts[0] = Place(0, 1, 1, 0, 0)
+        writer.shard.jobs[job.index] = job
+        writer.shard.dirty.add(job.index)
+        assert not await writer.flush() and not job.places and job.withheld
 
     curio.run(drive)
 
