Written once: a stop's grace, who holds a count, a plan's pick, the names' patterns

Read again, nothing changes in behaviour: the grace of a move and of a stop for a unit is the job's; the page that shows a count's holders and the choice of what stops go over the same tasks; a plan's two passes ask in the same way; a grant's size is one number; bounds of ids, names and tasks stand once (the patterns compare equal to those before).

--- a/starlingdeck/access/nonces.py
+++ b/starlingdeck/access/nonces.py
@@ -41,8 +41,7 @@
     def take(self, key: str, nonce: str, time_ms: int, now_ms: int) -> Answer:
         """Whether a request signed at `time_ms` is the first with this nonce; it is noted then."""
         while self.ends and self.ends[0][0] < now_ms:
-            _, *gone = heapq.heappop(self.ends)
-            self.seen.discard((gone[0], gone[1]))
+            self.seen.discard(heapq.heappop(self.ends)[1:])
         if (key, nonce) in self.seen:
             return Answer.SEEN
         if time_ms <= self.since_ms + 2 * self.skew_ms:
--- a/starlingdeck/coordination/admission.py
+++ b/starlingdeck/coordination/admission.py
@@ -54,8 +54,8 @@
     def drop(self) -> None:
         """Take the last part out again: the transaction has no room for it."""
 
-    def size(self) -> tuple[int, int]:
-        """Changes and conditions so far, beside those of the jobs."""
+    def size(self) -> int:
+        """Keys so far, beside those of the jobs: each is a condition, and may be a change."""
 
     def parts(self) -> tuple[dict[str, int], list[api.Change]]:
         """Conditions and changes; after this nothing is added."""
--- a/starlingdeck/coordination/jobs.py
+++ b/starlingdeck/coordination/jobs.py
@@ -82,6 +82,11 @@
     def unfinished(self) -> int:
         return self.spec.tasks - self.finished
 
+    @property
+    def grace_s(self) -> float:
+        """How long a task may take to save before it stops."""
+        return self.spec.save_s + 1.0 if self.spec.checkpoint_s > 0 else 0.0
+
     def pending(self, most: int) -> list[int]:
         """Up to `most` tasks that wait for a machine."""
         if self.cancelled or self.final:
--- a/starlingdeck/coordination/planner.py
+++ b/starlingdeck/coordination/planner.py
@@ -131,20 +131,20 @@
         found = scheduler.Round(self.world, self.rooms.all(), self.admission.spare, MOST_PICKS)
         for job in scheduler.order(self.world, jobs, self.world.wall_ms()):
             if self._waits(job):
-                picks = self._guarded(job, found.place)
-                self.admission.picked(job, len(picks))
-                await self._ask(picks)
-                await self._give_way()
+                await self._pick(job, found.place)
         self.demands[self.world.node] = (now, self._demand(found.waiting))
         for job, _ in found.waiting:
             if self._waits(job):
-                picks = self._guarded(job, lambda j: self._preempting(j, found, now))
-                self.admission.picked(job, len(picks))
-                await self._ask(picks)
-                await self._give_way()
+                await self._pick(job, lambda j: self._preempting(j, found, now))
         await self._ask(self._moving(found.rooms, now))
         return True
 
+    async def _pick(self, job: Job, pick: Callable[[Job], list[Pick]]) -> None:
+        picks = self._guarded(job, pick)
+        self.admission.picked(job, len(picks))
+        await self._ask(picks)
+        await self._give_way()
+
     def _guarded(self, job: Job, pick: Callable[[Job], list[Pick]]) -> list[Pick]:
         """A job that can't be planned doesn't keep the others waiting."""
         try:
@@ -291,7 +291,7 @@
                 job.starts[pick.task] = target
             elif pick.task not in job.ends and hold_s:
                 source.target, source.target_until = target, now + hold_s
-                source.grace_s = job.spec.save_s + 1.0 if job.spec.checkpoint_s > 0 else 0.0
+                source.grace_s = job.grace_s
                 moved = api.task_name(job.id, pick.task)
                 log.info(
                     "task %s: moves from %s to %s",
--- a/starlingdeck/coordination/writer.py
+++ b/starlingdeck/coordination/writer.py
@@ -207,8 +207,8 @@
             if grant is not None:
                 if not grant.add(draft):
                     continue
-                ours, looks = grant.size()
-                looks += sum(len(d.conditions) for d in (*batch, draft))
+                ours = grant.size()
+                looks = ours + sum(len(d.conditions) for d in (*batch, draft))
                 if batch and (changes + len(draft.changes) + ours > most or looks > allowed):
                     grant.drop()
                     break
--- a/starlingdeck/counts/door.py
+++ b/starlingdeck/counts/door.py
@@ -111,23 +111,14 @@
     told = info(name, found, stamp)
     told.shards = sorted(counts.writers)
     count = counts.world.counts.put(name)
-    for writer in counts.writers.values():
-        for job in writer.shard.jobs.values():
-            units = dict(job.needs).get(count, 0)
-            if not units:
-                continue
-            for task, place in job.places.items():
-                state = "ended, not written yet" if task in job.ends else SEEN[place.seen]
-                told.holders.append(
-                    Holder(
-                        api.task_name(job.id, task),
-                        units,
-                        counts.world.machines[place.machine],
-                        place.attempt,
-                        state,
-                        place.yields,
-                    )
-                )
+    for job, task, place, units in counts.holders(count):
+        state = "ended, not written yet" if task in job.ends else SEEN[place.seen]
+        name_there = counts.world.machines[place.machine]
+        told.holders.append(
+            Holder(
+                api.task_name(job.id, task), units, name_there, place.attempt, state, place.yields
+            )
+        )
     del told.holders[1000:]
     return answer(200, told)
 
--- a/starlingdeck/counts/gate.py
+++ b/starlingdeck/counts/gate.py
@@ -8,7 +8,7 @@
 from msgspec import Struct, field
 
 from starlingdeck.coordination.admission import Wait
-from starlingdeck.coordination.jobs import Draft, Job, JobShard
+from starlingdeck.coordination.jobs import Draft, Job, JobShard, Place
 from starlingdeck.coordination.membership import Membership
 from starlingdeck.coordination.world import MANY, World
 from starlingdeck.coordination.writer import Writer
@@ -434,25 +434,28 @@
             ],
         )  # fmt: skip
 
+    def holders(self, count: int) -> Iterator[tuple[Job, int, Place, int]]:
+        """The recorded tasks here that hold units of a count, and how many."""
+        for writer in self.writers.values():
+            for job in writer.shard.jobs.values():
+                units = dict(job.needs).get(count, 0) if job.needs else 0
+                if units:
+                    for task, place in job.places.items():
+                        yield job, task, place, units
+
     # --- stopping work for a unit
 
     def own_uses(self, count: int) -> list[Use]:
         """The tasks here that hold units of a count, those to be stopped first in front."""
         found = []
         now, wall_ms = self.world.now(), self.world.wall_ms()
-        for writer in self.writers.values():
-            for job in writer.shard.jobs.values():
-                units = dict(job.needs).get(count, 0) if job.needs else 0
-                if not units:
-                    continue
-                for task, place in job.places.items():
-                    # `since` is not known of places read from a record: those began long ago.
-                    ran_s = now - place.since
-                    began_ms = int(wall_ms - ran_s * 1000) if place.since > 0 else 0
-                    found.append(
-                        Use(writer.shard.shard, job.id, task, job.team, job.guaranteed,
-                            job.spec.rank, began_ms, units, place.yields)
-                    )  # fmt: skip
+        for job, task, place, units in self.holders(count):
+            # `since` is not known of places read from a record: those began long ago.
+            began_ms = int(wall_ms - (now - place.since) * 1000) if place.since > 0 else 0
+            found.append(
+                Use(job.shard, job.id, task, job.team, job.guaranteed, job.spec.rank, began_ms,
+                    units, place.yields)
+            )  # fmt: skip
         return sorted(found, key=lambda u: (not u.yields, u.rank, -u.began_ms))
 
     def stop_some(self) -> None:
@@ -491,7 +494,7 @@
             return
         place = job.places[use.task]
         place.yields = True
-        place.grace_s = job.spec.save_s + 1.0 if job.spec.checkpoint_s > 0 else 0.0
+        place.grace_s = job.grace_s
         shard.relist(job, use.task)
         name = self.world.counts[count]
         log.info("task %s: to stop, for a unit of %s", api.task_name(job.id, use.task), name)
@@ -649,8 +652,8 @@
         self.drafts.pop()
         self.drop_part()
 
-    def size(self) -> tuple[int, int]:
-        return len(self.new), len(self.new)
+    def size(self) -> int:
+        return len(self.new)
 
     def parts(self) -> tuple[dict[str, int], list[api.Change]]:
         counts = self.counts
--- a/starlingdeck/protocol/api.py
+++ b/starlingdeck/protocol/api.py
@@ -63,9 +63,9 @@
 Counter = Annotated[int, Meta(ge=0)]
 # The state service's keys and the log hold it as it is.
 HostName = Annotated[str, Meta(pattern=rf"\A[^\x00-\x20\x7f/]{{1,{MOST_NAME}}}\Z")]
-OtherName = Annotated[str, Meta(pattern=rf"\A[^\x00-\x1f\x7f]{{0,{MOST_NAME}}}\Z")]
+OtherName = Annotated[str, Meta(pattern=rf"\A{NAME.pattern}\Z")]
 
-JobId = Annotated[str, Meta(pattern=r"^j-[0-9]{1,18}$")]
+JobId = Annotated[str, Meta(pattern=rf"^{JOB_ID.pattern}$")]
 
 
 class JobSpec(msgspec.Struct, frozen=True):
@@ -77,7 +77,7 @@
     team: str = field(name="crew")
     kind: Literal["sweep", "daemon"] = field(name="shape")
     priority: Literal["prod", "urgent", "normal", "idle"] = field(name="rank")
-    tasks: Annotated[int, Meta(ge=1, le=100_000)] = field(name="chores")
+    tasks: Annotated[int, Meta(ge=1, le=MOST_TASKS)] = field(name="chores")
     cpus: Amount = field(name="cores")
     gpus: Amount = field(name="accelerators")
     memory_gb: Amount = field(name="ram_gb")
