What a machine hears is told from what it says: copies, half-open links, new lives

Need: reports come though nothing reaches their machine, copies come late, machines are back at once.

Change: coordination/hearing.py owns both directions of each machine. Copies renew nothing, revive nothing and get no 200; a new life shows itself only by an answer to a call, and counts once its former life's commands are fenced; what hears nothing is not drawn, costs one token at most and is returned after 60 s unless many are so. Silence of who hasn't heard of our token counts only when all former holders are quiet, also over a restart in the middle of a takeover (quiet_ms). A controller with neither state service nor peers is not healthy.

--- a/starlingdeck/coordination/cloud.py
+++ b/starlingdeck/coordination/cloud.py
@@ -9,6 +9,7 @@
 
 from starlingdeck.coordination import fleet
 from starlingdeck.coordination.fleet import Ask, Demand, FleetState, Listed
+from starlingdeck.coordination.hearing import may_return
 from starlingdeck.coordination.placement import Room
 from starlingdeck.coordination.world import World
 from starlingdeck.protocol import api
@@ -19,6 +20,8 @@
 
 T = TypeVar("T")
 
+DEAF_S = 60.0  # (start) a machine that hears nothing may heal within this
+
 
 class CloudError(Exception):
     """Refused, no answer, or nonsense: to be tried again."""
@@ -146,6 +149,7 @@
             for r in rooms
             if r.draining and not r.dead and not r.notice and not r.busy
         ]
+        names += self._deaf(rooms)
         names += self._idle(rooms)
         batch = [n for n in dict.fromkeys(names) if n not in self.returned][:100]
         if not batch:
@@ -159,6 +163,17 @@
         self.returned = {n: at for n, at in self.returned.items() if now - at < 60}
         self.deleted(batch)
 
+    def _deaf(self, rooms: list[Room]) -> list[str]:
+        """Machines that report and hear nothing, and don't heal: all that runs there ends with
+        each lease. When many are so at once, none."""
+        now, lease_s = self.world.now(), self.world.settings.settings.workers.lease_s
+        heard = [r for r in rooms if not r.dead]
+        ages = {r.index: r.deaf_s + now - r.at for r in heard if r.deaf_s > 0}
+        deaf = sum(age > lease_s for age in ages.values())
+        if not may_return(deaf, len(heard)):
+            return []
+        return [self.world.machines[i] for i, age in ages.items() if age > DEAF_S]
+
     def _idle(self, rooms: list[Room]) -> list[str]:
         """Machines that nothing has used for long, beyond the spare share."""
         world = self.world
--- a/starlingdeck/coordination/machines.py
+++ b/starlingdeck/coordination/machines.py
@@ -16,6 +16,7 @@
 from msgspec import Struct, field
 
 from starlingdeck.coordination import shedding
+from starlingdeck.coordination.hearing import Hearing, Word
 from starlingdeck.coordination.names import split_key, task_key
 from starlingdeck.coordination.shards import job_shard
 from starlingdeck.coordination.world import Size, World, fits, total_of
@@ -28,7 +29,11 @@
 RIDE_S = 5.0  # a worker waits 4 s for the answer to its report
 SWEEP_S = 2.0  # how often every machine is reconciled, changed or not
 LOOK_S = 0.2  # how often silence is looked for
+UNCALLED = 2  # calls in a row without an answer: starts ride on answers to reports, if at all
+ASK_S = 0.5  # between calls that only ask a machine what a foreign message was
+RAISE_S = 5.0  # between tokens raised only to see who hears of them
 MOST_PROBES = 32  # calls at once that only ask who is there
+GONE_S = 600.0  # (start) for how long copies of a deleted machine's reports are told
 PRUNE_S = 60.0  # how often what is known of jobs that left no trace here is forgotten
 
 
@@ -91,31 +96,23 @@
     until: float
 
 
-class Machine(Struct):
+class Machine(Hearing, kw_only=True):
     index: int
     name: str
     address: str
     type: int
     zone: int
     spot: bool
-    session: int
-    seq: int
-    token: int
-    heard: float
-    answered: float
-    # When it was first heard (again), until something proves that its word is not an old one.
-    back: float | None
-    first: float
     notice_until: float | None = None
     tasks: dict[int, Seen] = field(default_factory=dict)
     launches: dict[int, Launch] = field(default_factory=dict)
+    strays: list[api.Command] = field(default_factory=list)  # stops, for a life not yet begun
     holds: dict[int, Hold] = field(default_factory=dict)
     refused: set[tuple[int, int]] = field(default_factory=set)
     evict: dict[int, float] = field(default_factory=dict)
     shed: set[int] = field(default_factory=set)
     images: dict[str, float] = field(default_factory=dict)
     doubt: int = 0
-    unheard_do: int = 0  # direct commands in a row without an answer
     rode: float = -1e9  # when starts last went out in a report's answer
     dead: bool = False
     draining: bool = False
@@ -141,7 +138,6 @@
         self.quiet_until = world.now() + wait_s + world.silence_s
         report_s = world.settings.settings.workers.report_s
         self.fresh_s = 2.5 * report_s + 0.5
-        self.settled_s = report_s / 2  # what was held comes at once when a cut ends
         self.machines: dict[int, Machine] = {}
         self.jobs: dict[int, JobInfo] = {}
         self.wants: dict[int, dict[int, dict[int, Want]]] = {}
@@ -160,7 +156,9 @@
         self.prune_at = world.now() + PRUNE_S
         self.look_at = 0.0
         self.shard_of: dict[int, int] = {}
-        self.gone: set[int] = set()
+        self.gone: dict[int, float] = {}  # machine -> since when; its copies come for a while
+        self.copies = 0
+        self.raise_at = 0.0
         self.job_errors: dict[int, set[int]] = {}
         self.seq = 0
         self.changed = True
@@ -261,54 +259,106 @@
 
     # --- reports
 
-    def take_report(self, report: api.Report, renews: bool) -> Machine:
-        """Note a report or the body of a command's answer; old ones change nothing."""
+    def passed_over(self, report: api.Report) -> bool:
+        """Whether a report is a copy, of a former life, or of a machine that is gone. Not to be
+        answered 200: nothing may take the answer for a renewal."""
+        index = self.world.machines.get(report.machine)
+        if index is None:
+            return False
+        machine = self.machines.get(index)
+        if index not in self.gone and (
+            machine is None
+            or machine.word(report.session, report.seq, report.token, True) is not Word.FOREIGN
+        ):
+            return False
+        self.copies += 1
+        if machine is not None:
+            machine.ask = True
+            self._compare_soon(index)
+        return True
+
+    def take_report(
+        self, report: api.Report, renews: bool, asked: tuple[int, int] | None = None
+    ) -> Machine:
+        """Note a report that isn't `passed_over`, or the body of a command's answer, to which
+        `asked` is what was known when it was called."""
         world, now = self.world, self.world.now()
         index = world.machines.put(report.machine)
         machine = self.machines.get(index)
         if machine is None:
             machine = self.machines[index] = Machine(
-                index,
-                report.machine,
-                report.addr,
-                world.type_names.put(report.type),
-                world.zones.put(report.zone),
-                report.spot,
-                0,
-                0,
-                0,
-                now,
-                now,
+                index=index,
+                name=report.machine,
+                address=report.addr,
+                type=world.type_names.put(report.type),
+                zone=world.zones.put(report.zone),
+                spot=report.spot,
+                token=report.token,
+                heard=now,
+                answered=now,
                 # A worker that has seen no token is new: it has no sessions behind it.
-                now if report.token else None,
-                now,
+                back=now if report.token else None,
                 empty_since=now,
             )
             log.info("machine %s: first report, session %d", report.machine, report.session)
-        if renews:
+        elif machine.counts_anew(asked, report.session, report.seq):
+            return self._reborn(machine, report)
+        word = machine.word(report.session, report.seq, report.token, renews)
+        if renews and word is not Word.FOREIGN:
             machine.answered = now
-        else:
+            machine.reported = (report.session, report.seq)
+        if word is Word.NEWS:
+            self._take_news(machine, report, report.session + machine.ended, renews)
+        if not renews and word is not Word.FOREIGN:
+            machine.unheard_do, machine.ask = 0, False
+            self._proven(machine)
+        return machine
+
+    def _reborn(self, machine: Machine, report: api.Report) -> Machine:
+        """A machine was back within its lease, and counts from 1 again: all that ran there is
+        over, once no start that was sent to its former life can act any more."""
+        machine.strays = [
+            api.Command(api.STOP, t.task, t.attempt, 0.0)
+            for t in report.tasks
+            if api.STATE_CODES.get(t.state) != api.EXITED
+        ]
+        if report.token > max(machine.token, machine.doubt) and not machine.strays:
+            log.info("machine %s: began a new life", machine.name)
+            session = machine.begin_life(report.session)
+            machine.shown, machine.seq = None, 0
+            machine.answered = self.world.now()
+            self._take_news(machine, report, session, False)
             self._proven(machine)
-        if (report.session, report.seq) <= (machine.session, machine.seq):
-            return machine
+        else:
+            # The next answer comes under a token that those starts don't have, and what one of them
+            # has begun is stopped.
+            machine.reborn, machine.ask = report.session, True
+            machine.doubt = max(machine.doubt, self.token)
+            self.touch(machine.index)
+        return machine
+
+    def _take_news(self, machine: Machine, report: api.Report, session: int, renews: bool) -> None:
+        now, index = self.world.now(), machine.index
         before = (machine.dead, machine.session, machine.notice_until is None)
-        if report.session != machine.session:
+        if session != machine.session:
             # A new session is proof that all before it ended; nothing sent then can act now.
             machine.launches.clear()
             machine.refused.clear()
             machine.evict.clear()
             machine.doubt = 0
             if machine.session:
-                log.info("machine %s: session %d began", machine.name, report.session)
-        machine.session, machine.seq = report.session, report.seq
+                log.info("machine %s: session %d began", machine.name, session)
+                # Its lease ended although we answered its reports, or we did not.
+                self._doubt(machine)
+        machine.session, machine.seq = session, report.seq
         if renews and now - machine.heard > self.fresh_s:
-            machine.back = now
-        elif machine.back is not None and now - machine.back > self.settled_s:
-            self._proven(machine)
+            self._doubt(machine)
+        elif machine.back is not None and report.token > machine.token and report.token:
+            self._proven(machine)  # it has heard of it from us
         machine.heard = now
         machine.dead = False
         was_fenced = machine.token >= self.base
-        machine.token = max(machine.token, report.token)
+        machine.token = report.token
         if machine.doubt and machine.token > machine.doubt:
             machine.doubt = 0
             self.touch(index)
@@ -324,7 +374,12 @@
         changed |= was_fenced != (machine.token >= self.base)
         if changed:
             self.touch(index)
-        return machine
+
+    def _doubt(self, machine: Machine) -> None:
+        """It may not hear us: not drawn until it has answered a call or heard of a later token."""
+        if machine.back is None:
+            machine.back = self.world.now()
+            self.touch(machine.index)
 
     def _proven(self, machine: Machine) -> None:
         if machine.back is not None:
@@ -428,7 +483,7 @@
         They may ride on the answer to its report: a worker executes answers in order and
         drops late ones, and reaps go the same way, so none can follow its own reap.
         """
-        if machine.unheard_do < 2 or not machine.launches:
+        if machine.unheard_do < UNCALLED or machine.reborn or not machine.launches:
             return []
         out = []
         for key, launch in machine.launches.items():
@@ -456,7 +511,10 @@
         self.look_at = now + LOOK_S
         for machine in self.machines.values():
             silent = now - machine.answered
-            if not machine.dead and silent > world.silence_s:
+            # One that hasn't heard of our token may go on being answered by the former holder:
+            # one of its reports came to us, our answer got lost, and it went back there.
+            alone = machine.token >= self.base or now > self.quiet_until
+            if not machine.dead and silent > world.silence_s and alone:
                 machine.dead = True
                 machine.launches.clear()
                 self.touch(machine.index)
@@ -468,11 +526,15 @@
         """The cloud answered 200: the machine and everything on it are gone."""
         index = self.world.machines.put(name)
         if index not in self.gone:
-            self.gone.add(index)
+            self.gone[index] = self.world.now()
             if self.machines.pop(index, None) is not None:
                 self.removed.add(index)
             self.changed = True
 
+    def deleted(self, name: str) -> bool:
+        """Whether a machine is known to be gone: what comes of it is a late copy."""
+        return self.world.machines.get(name) in self.gone
+
     def unheard(self) -> Iterable[int]:
         """Machines that jobs name and that are proven gone without ever reporting here."""
         late = self.world.now() > self.quiet_until
@@ -730,6 +792,8 @@
         for key in [k for k, h in machine.holds.items() if h.until < now]:
             del machine.holds[key]
             self._show(machine)
+        if (machine.dead or machine.token >= self.base) and machine.catch_up(self._listed(machine)):
+            self._show(machine)
         if machine.dead:
             return False
         stops = self._compare(machine, now)
@@ -737,8 +801,11 @@
             key in machine.evict and s.state in (api.FETCHING, api.ON)
             for key, s in machine.tasks.items()
         )
-        ask = stops or bool(machine.launches) or machine.back is not None
-        if ask or machine.holds:
+        doubts = machine.back is not None or (machine.ask and machine.ask_at <= now)
+        if machine.ask and doubts:
+            machine.ask_at = now + ASK_S
+        ask = stops or bool(machine.launches) or doubts
+        if ask or machine.ask or machine.holds:
             self.kept.add(machine.index)
         return ask and not machine.busy and machine.retry_at <= now
 
@@ -755,7 +822,8 @@
         self.jobs = {j: info for j, info in self.jobs.items() if j in live}
         self.shard_of = {j: shard for j, shard in self.shard_of.items() if j in live}
         self.job_errors = {j: found for j, found in self.job_errors.items() if j in live}
-        self.gone &= named
+        kept = self.world.now() - GONE_S
+        self.gone = {m: at for m, at in self.gone.items() if at > kept or m in named}
 
     def _show(self, machine: Machine) -> None:
         self.news.add(machine.index)
@@ -784,6 +852,11 @@
         self._forget_launches(machine, listed)
         return stops
 
+    def _listed(self, machine: Machine) -> int:
+        """The latest session that lists name there."""
+        tables = (table.get(machine.index, {}) for table in self.wants.values())
+        return max((want.session for here in tables for want in here.values()), default=0)
+
     def _forget_launches(self, machine: Machine, listed: set[int]) -> None:
         """Drop starts that are not wanted any more, once they can't act any more."""
         for key, launch in list(machine.launches.items()):
@@ -817,8 +890,11 @@
     def orders(self, machine: Machine, starts: bool) -> api.Commands:
         """What to send by `/do` now. Marks launches as sent, before they are."""
         world = self.world
+        if machine.reborn:
+            return api.Commands(self.token, machine.reborn, machine.strays)
         commands = [c for c in self.commands_after(machine, starts) if c.op != api.FORGET]
-        if starts:
+        # A start without an answer raises the token for all: not again and again for one machine.
+        if starts and machine.unheard_do < UNCALLED:
             for key, launch in machine.launches.items():
                 want = self.want_of(machine.index, key)
                 if want is None or want.stop:
@@ -832,16 +908,18 @@
                 commands.append(api.Command(api.START, name, launch.attempt))
                 if launch.sent == 1:
                     log.info("task %s attempt %d: start on %s", name, launch.attempt, machine.name)
-        return api.Commands(self.token, machine.session, commands)
+        return api.Commands(self.token, machine.session - machine.ended, commands)
 
     def unanswered(self, machine: Machine, orders: api.Commands, maybe: bool) -> None:
         """`/do` got no answer; if it was sent it may act at any later time."""
         starts = any(c.op == api.START for c in orders.commands)
-        if maybe and starts and orders.session == machine.session:
+        if maybe and starts and orders.session == machine.session - machine.ended:
             machine.doubt = max(machine.doubt, orders.token)
             self.touch(machine.index)
             log.info("machine %s: a start got no answer, to be fenced", machine.name)
         machine.unheard_do += 1
+        if machine.unheard_do == UNCALLED and not machine.dead:
+            self._doubt(machine)
         machine.retry_at = self.world.now() + min(0.5 * machine.unheard_do, 3.0)
 
     def refused_orders(self, machine: Machine) -> None:
@@ -849,11 +927,26 @@
         machine.retry_at = self.world.now() + 0.3
 
     def needs_new_token(self) -> bool:
-        """A start without an answer must be fenced before its task can be called gone."""
-        return any(
-            m.doubt >= self.token and not m.dead and self.world.now() - m.heard < 3
-            for m in self.machines.values()
+        """A start without an answer must be fenced before its task can be called gone; and of
+        machines that no call reaches, those that show a later token hear our answers."""
+        now = self.world.now()
+        live = [m for m in self.machines.values() if not m.dead and now - m.heard < 3]
+        if any(m.doubt >= self.token for m in live) or any(
+            m.reborn and m.doubt >= self.token for m in self.machines.values()
+        ):
+            return True
+        seen = now >= self.raise_at and any(
+            m.back is not None and m.unheard_do and m.token >= self.token for m in live
         )
+        if seen:
+            self.raise_at = now + RAISE_S
+        return seen
+
+    def deaf(self) -> list[float]:
+        """For each machine that reports and shows no sign of hearing us: for how long."""
+        now, lease_s = self.world.now(), self.world.settings.settings.workers.lease_s
+        ages = [m.deaf_s(now, lease_s) for m in self.machines.values() if not m.dead]
+        return [age for age in ages if age > lease_s]
 
     # --- the view
 
@@ -923,6 +1016,7 @@
             notice=m.notice_until is not None,
             silent_s=world.now() - m.heard,
             idle_s=world.now() - m.empty_since,
+            deaf_s=m.deaf_s(world.now(), world.settings.settings.workers.lease_s),
         )
         entry.fetching.extend(self._fetching(m))
         entry.youngest_s.extend(self._youngest(m))
--- a/starlingdeck/coordination/membership.py
+++ b/starlingdeck/coordination/membership.py
@@ -62,6 +62,7 @@
         self.living: dict[int, float] = {}
         self.absent: dict[int, float] = {}
         self.handed: dict[int, float] = {}
+        self.quiet: dict[int, int] = {}  # of shards held: when all former holders are quiet, in ms
         self.synced = False
         self.reached = True
         self.revision = 0
@@ -239,7 +240,7 @@
         if there is not None:
             # Our name, but not held by this process: it died, and we are its restart.
             if there[1].node == me:
-                await self._take(shard, there[0], 0.0)
+                await self._take(shard, there[0], self._left_s(there[1]))
             return
         since = self.absent.setdefault(shard, now)
         order = heirs(shard, self.world.shard_zones, sorted({*self.living, me}))
@@ -248,11 +249,25 @@
         if now - since >= wait:
             await self._take(shard, 0, self.world.outage_s)
 
+    def _left_s(self, value: ShardValue) -> float:
+        """How long holders before our own last hold may still renew workers' leases.
+
+        Our former process is dead and renews none. But it may have just taken the shard from one
+        that is cut off and goes on: back within a fraction of a second, we judged its silence.
+        """
+        if not value.quiet_ms:
+            return 0.0
+        off_ms = 2 * self.world.settings.settings.skew_ms
+        left_ms = value.quiet_ms + off_ms - self.world.wall_ms()
+        return min(max(0.0, left_ms / 1000), self.world.outage_s)
+
     async def _take(self, shard: int, version: int, wait_s: float) -> None:
         gen = self.world.rng.getrandbits(60)
         key = records.shard_key(shard)
-        change = put(key, ShardValue(self.world.node, gen), self.lease)
+        quiet_ms = self.world.wall_ms() + int(wait_s * 1000) if wait_s > 0 else 0
+        change = put(key, ShardValue(self.world.node, gen, quiet_ms), self.lease)
         token = await self.state.txn({key: version}, [change], True)
+        self.quiet[shard] = quiet_ms
         holder = Holder(self.world.node, token, gen)
         self.held[shard] = holder
         self.holders[shard] = holder
@@ -267,7 +282,7 @@
         if mine is None:
             return
         key = records.shard_key(shard)
-        change = put(key, ShardValue(mine.node, mine.gen), self.lease)
+        change = put(key, ShardValue(mine.node, mine.gen, self.quiet.get(shard, 0)), self.lease)
         token = await self.state.txn({key: mine.token}, [change], True)
         await self._raised(shard, token)
 
--- a/starlingdeck/coordination/node.py
+++ b/starlingdeck/coordination/node.py
@@ -170,10 +170,21 @@
             if self.overload is not None:
                 for line in self.overload.lines():
                     log.info("%s", line)
+            for line in self._hearing_lines():
+                log.info("%s", line)
             if self.world.slices is not None:
                 for line in self.world.slices.lines():
                     log.debug("%s", line)
 
+    def _hearing_lines(self) -> Iterator[str]:
+        for shard, machines in self.machines.items():
+            deaf = machines.deaf()
+            yield (
+                f"machines of shard {shard}: {len(machines.machines)} known, {len(deaf)} hear "
+                f"nothing, longest {max(deaf, default=0.0):.0f} s, "
+                f"{machines.copies} copies passed over"
+            )
+
     def _waiting(self) -> Iterator[tuple[str, str, int, float]]:
         """The tasks here that wait for a machine, job by job."""
         wall_ms = self.world.wall_ms()
@@ -383,8 +394,10 @@
         return response
 
     def health(self) -> Response:
+        """With neither the state service nor a peer every answer is a refusal: while the workers'
+        leases are still renewed, users are better off elsewhere."""
         others = any(self.peers.up(n) for n in range(self.world.shards) if n != self.world.node)
-        ready = bool(self.world.types) and (self.membership.may_renew_workers() or others)
+        ready = bool(self.world.types) and (self.membership.valid() or others)
         return Response(200) if ready else fault(503, "not ready")
 
     # --- the step loop: from what is to what is wanted
@@ -408,7 +421,7 @@
             for machine in machines.reconcile():
                 machine.busy = True
                 orders = machines.orders(machine, valid)
-                if orders.commands or machine.back is not None:
+                if orders.commands or machine.back is not None or machine.ask or machine.unheard_do:
                     await curio.spawn(
                         self._do, machines, machine, machine.address, orders, daemon=True
                     )
@@ -439,13 +452,15 @@
         orders: api.Commands,
     ) -> None:
         """Commands straight to a worker; the answer's body is its newest report."""
+        asked = machine.mark() if machine is not None else None
         try:
             body = msgspec.json.encode(orders)
             wait = self.world.tuning.reply_wait_s
             reply = await self.http.call(address, "POST", api.COMMANDS, body, wait)
             report = api.decode_report(reply.body)
-            taken = machines.take_report(report, False)
-            taken.unheard_do = 0
+            if machines.deleted(report.machine):
+                return
+            taken = machines.take_report(report, False, asked)
             if reply.status == 409:
                 machines.refused_orders(taken)
             elif reply.status != 200:
--- a/starlingdeck/coordination/placement.py
+++ b/starlingdeck/coordination/placement.py
@@ -41,6 +41,7 @@
     fetching: set[str] = field(default_factory=set)
     youngest_s: list[float] = field(default_factory=list)  # by rank, as of `at`; -1: none
     present: set[tuple[int, int]] = field(default_factory=set)
+    deaf_s: float = 0.0  # for how long it has reported without hearing its owner, as of `at`
     lowest: int = NO_RANK  # of the work that may be stopped
 
     def __post_init__(self) -> None:
--- a/starlingdeck/coordination/reports.py
+++ b/starlingdeck/coordination/reports.py
@@ -54,10 +54,13 @@
             return await self._redirect(report, shard, body)
         if not self.membership.may_renew_workers():
             return fault(503, "cut off from the state service")
+        if machines.passed_over(report):
+            self.news = True
+            return fault(503, "an old report")
         valid = self.membership.valid()
         fresh = self.world.machines.get(report.machine)
         seen = machines.machines.get(fresh) if fresh is not None else None
-        newer = seen is None or (report.session, report.seq) > (seen.session, seen.seq)
+        newer = seen is None or (report.session, report.seq) > seen.mark()
         machine = machines.take_report(report, True)
         if machines.due or machines.changed:
             self.news = True
--- a/starlingdeck/coordination/rooms.py
+++ b/starlingdeck/coordination/rooms.py
@@ -87,6 +87,7 @@
             images=set(m.images),
             fetching=set(m.fetching),
             youngest_s=list(m.youngest_s),
+            deaf_s=m.deaf_s,
             present={(j, t.task) for t in m.tasks if (j := world.jobs.get(t.job)) is not None},
         )
 
--- a/starlingdeck/storage/records.py
+++ b/starlingdeck/storage/records.py
@@ -35,9 +35,12 @@
     boot: int
 
 
-class ShardValue(msgspec.Struct):
+class ShardValue(msgspec.Struct, omit_defaults=True):
+    """`quiet_ms`: the time of day from which no former holder renews workers' leases any more."""
+
     node: int
     gen: int
+    quiet_ms: int = 0
 
 
 class RelayPart(msgspec.Struct):
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -202,6 +202,7 @@
             for entry in (*seen.values(), *want.values()):
                 # What only time changes is counted on by who sees it.
                 entry.silent_s = entry.idle_s = 0.0
+                entry.deaf_s = float(entry.deaf_s > 0)
                 del entry.youngest_s[:]
             assert seen == want
 
