Machines are told from jobs that fail everywhere; largest jobs begin; models learn copies and lives

Need: a wrong job's thirty tasks on one large machine made it sick, and it was returned; a class's largest jobs waited for as long as smaller ones came; an array's starts waited behind scattered ends.

Change: coordination/blame.py counts a job of which nothing is known once, and one that fails elsewhere not at all; a sick machine may turn out well for 10 s; probes of jobs that fail wherever they run take 5% of the changes. A task of a job that has waited 120 s to begin goes before all, and a machine is kept for it. The chunks with most in them are written first, the lowest with them.

Tests: each safeguard in test_hearing; the plain models have half-open links, copies and machines that are back at once. They found a life that was never begun and a dead machine never asked.

--- a/starlingdeck/coordination/hearing.py
+++ b/starlingdeck/coordination/hearing.py
@@ -38,6 +38,11 @@
     # The session of a life that an answer has shown, until its former life's commands are fenced.
     reborn: int = 0
 
+    @property
+    def doubted(self) -> bool:
+        """Whether it is to be called only to see whether it answers."""
+        return self.back is not None or self.ask
+
     def mark(self) -> tuple[int, int]:
         """The newest message's session and number, by the machine's own count."""
         return (self.session - self.ended, self.seq)
--- a/starlingdeck/coordination/jobs.py
+++ b/starlingdeck/coordination/jobs.py
@@ -6,10 +6,12 @@
 
 import logging
 from array import array
+from collections import Counter
+from collections.abc import Iterable
 
 from msgspec import Struct, field
 
-from starlingdeck.coordination import tally
+from starlingdeck.coordination import blame, tally
 from starlingdeck.coordination.names import split_key, task_key
 from starlingdeck.coordination.shards import machine_shard
 from starlingdeck.coordination.sights import Sight
@@ -84,6 +86,13 @@
     guaranteed: bool = False
     due_ms: tuple[float, ...] | None = None  # by the aims, soonest first; reckoned when asked for
 
+    @property
+    def known(self) -> int:
+        """What its errors say of the machines they were on."""
+        if self.finished:
+            return blame.FINE
+        return blame.BROKEN if len(self.failed_on) >= blame.BROKEN_ON else blame.UNKNOWN
+
     @property
     def unfinished(self) -> int:
         return self.spec.tasks - self.finished
@@ -98,16 +107,20 @@
         if self.cancelled or self.final:
             return []
         found: list[int] = []
-        i, n = self.first_pending, self.spec.tasks
-        while i < n and self.state[i] != PENDING:
-            i += 1
-        self.first_pending = i
-        while i < n and len(found) < most:
-            if self.state[i] == PENDING and i not in self.starts and i not in self.asking:
+        i = self.first_pending = self._next(self.first_pending)
+        while i < self.spec.tasks and len(found) < most:
+            if i not in self.starts and i not in self.asking:
                 found.append(i)
-            i += 1
+            i = self._next(i + 1)
         return found
 
+    def _next(self, first: int) -> int:
+        """The first pending task from there on; the number of tasks if there is none."""
+        try:
+            return self.state.index(PENDING, first)
+        except ValueError:
+            return self.spec.tasks
+
     def ready(self, most: int, now: float) -> list[int]:
         """Of those, the ones that need not wait before they are tried again."""
         return [t for t in self.pending(most) if self.retry_at.get(t, 0.0) <= now]
@@ -276,8 +289,12 @@
     def set_guaranteed(self, job: Job, guaranteed: bool) -> None:
         if job.guaranteed != guaranteed:
             job.guaranteed = guaranteed
-            for shard in {p.shard for p in job.places.values()}:
-                self.outs[shard].jobs.add(job.index)
+            self.tell_of(job)
+
+    def tell_of(self, job: Job) -> None:
+        """Machines' owners where it runs are to know what it is like now."""
+        for shard in {p.shard for p in job.places.values()}:
+            self.outs[shard].jobs.add(job.index)
 
     # --- what is seen
 
@@ -377,12 +394,17 @@
             self.world.tally.note(job.spec.team, job.spec.cls, tally.STOPPED)
         now = self.world.now()
         if why == api.W_ERROR:
-            job.errors += 1
+            known = job.known
             job.failed_on.add(place.machine)
             job.avoid.setdefault(task, set()).add(place.machine)
-            if len(job.failed_on) >= self.world.tuning.suspect_machines:
-                # It fails wherever it runs: probe seldom, so that it doesn't burn the fleet.
+            suspect = len(job.failed_on) >= self.world.tuning.suspect_machines
+            if suspect and now >= job.hold_until:
+                # It fails wherever it runs: probe seldom, so that it doesn't burn the fleet. Errors
+                # that come together are one: by each of them it waited a minute at once.
+                job.errors += 1
                 job.hold_until = now + min(60.0, 2.0 * 2 ** min(job.errors, 6))
+            if known != job.known:
+                self.tell_of(job)
         elif why == api.W_DONE:
             job.errors = 0
             job.failed_on.clear()
@@ -479,7 +501,7 @@
         if not ends and not starts:
             return None
         most = min(most_chunks, self.world.settings.settings.state.txn_ops)
-        chunks = sorted({t // CHUNK for t in (*ends, *starts)})[:most]
+        chunks = densest((*ends, *starts), most)
         ends = {t: w for t, w in ends.items() if t // CHUNK in chunks}
         starts = {t: p for t, p in starts.items() if t // CHUNK in chunks}
         changes = []
@@ -544,6 +566,8 @@
             if why == api.W_DONE:
                 job.state[task] = DONE
                 job.finished += 1
+                if job.finished == 1:
+                    self.tell_of(job)
             else:
                 job.state[task] = PENDING
                 job.first_pending = min(job.first_pending, task)
@@ -570,6 +594,19 @@
         return api.JobStatus(job.id, state, job.finished, running)
 
 
+def densest(tasks: Iterable[int], most: int) -> list[int]:
+    """The chunks to write first: those with most in them, and the lowest.
+
+    By number alone the ends of an array's early tasks, one to a chunk, kept its starts, a hundred
+    to a chunk, waiting until the room kept for them was gone.
+    """
+    many = Counter(task // CHUNK for task in tasks)
+    chosen = sorted(many, key=lambda c: (-many[c], c))[:most]
+    if many and (lowest := min(many)) not in chosen:
+        chosen[-1] = lowest
+    return sorted(chosen)
+
+
 def job_message(job: Job) -> pb.Job:
     spec = job.spec
     return pb.Job(
@@ -587,4 +624,5 @@
         estimate_s=spec.estimate_s,
         spot=spec.spot,
         guaranteed=job.guaranteed,
+        known=job.known,
     )
--- a/starlingdeck/coordination/machines.py
+++ b/starlingdeck/coordination/machines.py
@@ -16,6 +16,7 @@
 from msgspec import Struct, field
 
 from starlingdeck.coordination import shedding
+from starlingdeck.coordination.blame import FEW_SICK, Blame
 from starlingdeck.coordination.hearing import Hearing, Word
 from starlingdeck.coordination.names import split_key, task_key
 from starlingdeck.coordination.shards import job_shard
@@ -34,6 +35,7 @@
 RAISE_S = 5.0  # between tokens raised only to see who hears of them
 MOST_PROBES = 32  # calls at once that only ask who is there
 GONE_S = 600.0  # (start) for how long copies of a deleted machine's reports are told
+SICK_SURE_S = 10.0  # (start) a sick machine is not returned sooner
 PRUNE_S = 60.0  # how often what is known of jobs that left no trace here is forgotten
 
 
@@ -116,7 +118,7 @@
     rode: float = -1e9  # when starts last went out in a report's answer
     dead: bool = False
     draining: bool = False
-    errors: set[tuple[int, int]] = field(default_factory=set)
+    sick: float | None = None  # since when; its work may still show that it isn't
     busy: bool = False
     retry_at: float = 0.0
     empty_since: float = 0.0
@@ -159,7 +161,7 @@
         self.gone: dict[int, float] = {}  # machine -> since when; its copies come for a while
         self.copies = 0
         self.raise_at = 0.0
-        self.job_errors: dict[int, set[int]] = {}
+        self.blame = Blame(world.tuning.sick_errors)
         self.seq = 0
         self.changed = True
 
@@ -239,6 +241,9 @@
             job.guaranteed,
             job.estimate_s,
         )
+        if self.blame.learn(index, job.known):
+            for ill in [m for m in self.machines.values() if m.sick is not None]:
+                self._diagnose(ill)
         return index
 
     def home(self, key: int) -> int:
@@ -351,6 +356,7 @@
                 # Its lease ended although we answered its reports, or we did not.
                 self._doubt(machine)
         machine.session, machine.seq = session, report.seq
+        machine.reborn = 0  # its lease ended, and a later session is proof enough
         if renews and now - machine.heard > self.fresh_s:
             self._doubt(machine)
         elif machine.back is not None and report.token > machine.token and report.token:
@@ -439,17 +445,24 @@
         if seen.state != api.EXITED:
             return
         if seen.why == api.W_DONE:
-            machine.errors.clear()
+            self.blame.done(machine.index, job)
         elif seen.why == api.W_ERROR:
-            where = self.job_errors.setdefault(job, set())
-            where.add(machine.index)
-            machine.errors.add((key, seen.attempt))
-            counted = [
-                e for e in machine.errors if len(self.job_errors.get(split_key(e[0])[0], ())) <= 2
-            ]
-            if len(counted) >= self.world.tuning.sick_errors and not machine.draining:
-                machine.draining = True
-                log.info("machine %s: sick, %d errors in a row", machine.name, len(counted))
+            self.blame.error(machine.index, job, key << 32 | seen.attempt)
+        if seen.why == api.W_ERROR or machine.sick:
+            self._diagnose(machine)
+
+    def _diagnose(self, machine: Machine) -> None:
+        """Sick by jobs of which little is known are few at a time: a flood of jobs that fail
+        everywhere may not take all machines."""
+        sick = self.blame.sick(machine.index)
+        if sick and not machine.sick and not self.blame.surely(machine.index):
+            others = sum(m.sick is not None for m in self.machines.values())
+            sick = others < max(1, len(self.machines) * FEW_SICK)
+        if sick is (machine.sick is not None):
+            return
+        machine.sick = self.world.now() if sick else None
+        log.info("machine %s: %s", machine.name, "sick" if sick else "not sick after all")
+        self.touch(machine.index)
 
     def commands_after(self, machine: Machine, reaps: bool) -> list[api.Command]:
         """Stops and reaps that the newest report calls for. Launches go by `/do` only."""
@@ -519,7 +532,9 @@
                 machine.launches.clear()
                 self.touch(machine.index)
                 log.info("machine %s: silent for %.1f s, its lease is over", machine.name, silent)
-            elif machine.drawn != self.drawable(machine):
+            elif machine.drawn != self.drawable(machine) or (
+                machine.sick is not None and 0 < now - machine.sick - SICK_SURE_S < 2 * LOOK_S
+            ):
                 self.touch(machine.index)
 
     def mark_deleted(self, name: str) -> None:
@@ -592,6 +607,7 @@
         return (
             not machine.dead
             and not machine.draining
+            and machine.sick is None
             and machine.back is None
             and machine.token >= self.base
             and self.world.now() - machine.heard < self.fresh_s
@@ -769,7 +785,7 @@
         self.kept = set()
         found = [self.machines[i] for i in due if i in self.machines]
         # Calls that hang would take the sockets that the state service is called on.
-        probes = MOST_PROBES - sum(m.busy and m.back is not None for m in found)
+        probes = MOST_PROBES - sum(m.busy and m.doubted for m in found)
         for machine in found:
             if self.world.rests("machine", machine.name):
                 self.due.add(machine.index)
@@ -782,8 +798,8 @@
                 self.world.set_aside("machine", machine.name, why)
                 self.due.add(machine.index)
                 continue
-            probes -= machine.back is not None
-            if machine.back is None or probes >= 0:
+            probes -= machine.doubted
+            if not machine.doubted or probes >= 0:
                 busy.append(machine)
         self.settled = dict(self.acks)
         return busy
@@ -794,17 +810,19 @@
             self._show(machine)
         if (machine.dead or machine.token >= self.base) and machine.catch_up(self._listed(machine)):
             self._show(machine)
-        if machine.dead:
-            return False
-        stops = self._compare(machine, now)
-        stops |= any(
-            key in machine.evict and s.state in (api.FETCHING, api.ON)
-            for key, s in machine.tasks.items()
+        stops = not machine.dead and (
+            self._compare(machine, now)
+            | any(
+                key in machine.evict and s.state in (api.FETCHING, api.ON)
+                for key, s in machine.tasks.items()
+            )
         )
-        doubts = machine.back is not None or (machine.ask and machine.ask_at <= now)
-        if machine.ask and doubts:
+        # One that passes for dead may be back with low numbers: only an answer tells.
+        asks = machine.ask and machine.ask_at <= now
+        if asks:
             machine.ask_at = now + ASK_S
-        ask = stops or bool(machine.launches) or doubts
+        doubts = machine.back is not None and not machine.dead
+        ask = stops or bool(machine.launches) or doubts or asks
         if ask or machine.ask or machine.holds:
             self.kept.add(machine.index)
         return ask and not machine.busy and machine.retry_at <= now
@@ -817,11 +835,11 @@
         keys = {k for table in self.wants.values() for here in table.values() for k in here}
         for m in self.machines.values():
             keys.update(m.tasks, m.launches, m.holds, m.evict, m.shed)
-            keys.update(key for key, _ in (*m.refused, *m.errors))
+            keys.update(key for key, _ in m.refused)
         live = {split_key(key)[0] for key in keys}
         self.jobs = {j: info for j, info in self.jobs.items() if j in live}
         self.shard_of = {j: shard for j, shard in self.shard_of.items() if j in live}
-        self.job_errors = {j: found for j, found in self.job_errors.items() if j in live}
+        self.blame.keep(live, self.machines)
         kept = self.world.now() - GONE_S
         self.gone = {m: at for m, at in self.gone.items() if at > kept or m in named}
 
@@ -1012,7 +1030,8 @@
             dead=m.dead,
             drawable=free is not None and m.drawn,
             images=list(m.images),
-            draining=m.draining,
+            # Returned when it is empty: not before others had the time to speak for it.
+            draining=m.draining or (m.sick is not None and world.now() - m.sick > SICK_SURE_S),
             notice=m.notice_until is not None,
             silent_s=world.now() - m.heard,
             idle_s=world.now() - m.empty_since,
--- a/starlingdeck/coordination/node.py
+++ b/starlingdeck/coordination/node.py
@@ -421,7 +421,7 @@
             for machine in machines.reconcile():
                 machine.busy = True
                 orders = machines.orders(machine, valid)
-                if orders.commands or machine.back is not None or machine.ask or machine.unheard_do:
+                if orders.commands or machine.doubted or machine.unheard_do:
                     await curio.spawn(
                         self._do, machines, machine, machine.address, orders, daemon=True
                     )
--- a/starlingdeck/coordination/overload.py
+++ b/starlingdeck/coordination/overload.py
@@ -129,7 +129,8 @@
     def _capacity(self, shard: int) -> tuple[float, float, float]:
         machines = self.machines.get(shard)
         found = machines.machines.values() if machines is not None else ()
-        kinds = [self.world.types.get(m.type) for m in found if not (m.dead or m.draining)]
+        well = [m for m in found if not (m.dead or m.draining or m.sick is not None)]
+        kinds = [self.world.types.get(m.type) for m in well]
         return total(total_of(kind) for kind in kinds if kind is not None)
 
     def _loads(self, writer: Writer) -> dict[Pair, Load]:
--- a/starlingdeck/coordination/planner.py
+++ b/starlingdeck/coordination/planner.py
@@ -21,6 +21,7 @@
 from starlingdeck.coordination.writer import URGENT, Writer
 from starlingdeck.protocol import api
 from starlingdeck.protocol import peer_pb2 as pb
+from starlingdeck.protocol.settings import OverloadSettings
 from starlingdeck.storage.limiter import Limiter
 
 log = logging.getLogger(__name__)
@@ -35,6 +36,8 @@
 LOOK_S = 0.04  # how often it is looked whether anything waits
 STRETCH_S = 0.005  # (start) of planning before others get their turn
 GATHER_RETRY_S = 0.4  # (start) between looks at a machine that keeps what comes free
+MOST_UNBEGUN = 4  # (start) jobs that have long waited to begin, taken first in a plan
+PROBE_SHARE = 0.05  # (start) of the changes: for probes of jobs that fail on every machine
 MOST_PRESSED = 32  # tasks of a job that ask for room by preemption at once
 
 Reserve = Callable[[pb.Reserve], pb.Reserved]
@@ -62,6 +65,9 @@
         self.admission = admission
         self.reserve_here = reserve_here
         self.overload = overload
+        self.floors = overload.settings if overload is not None else OverloadSettings()
+        writes = world.settings.settings.state.write_rps
+        self.probes = Limiter(PROBE_SHARE * writes / 2 / world.shards, 2.0, world.now)
         self.wake = wake
         self.flush = flush
         self.demands: dict[int, tuple[float, list[pb.Demand]]] = {}
@@ -106,6 +112,19 @@
                     self.plan_at = now + min(most_s, pause_s)
             await curio.sleep(LOOK_S)
 
+    def _may_probe(self, job: Job, now: float) -> bool:
+        """Jobs that fail wherever they run take no more than a small share of all changes."""
+        if len(job.failed_on) < self.world.tuning.suspect_machines or job.asking or job.starts:
+            return True
+        return job.hold_until <= now and not job.places and self.probes.delay(1.0, True) <= 0
+
+    def _unbegun(self, jobs: list[Job]) -> list[Job]:
+        """The longest waiting of those that must begin now, whatever their rank: a few."""
+        wall_ms = self.world.wall_ms()
+        long = [job for job in jobs if scheduler.unbegun(job, wall_ms)]
+        able = [job for job in long if self.admission.spare(job) > 0]
+        return sorted(able, key=lambda job: (job.at_ms, job.id))[:MOST_UNBEGUN]
+
     def _hurry(self) -> bool:
         """Whether something came that is not to wait for the next plan: replicas have seconds."""
         return self.admission.due() or any(w.shard.replicas for w in self.writers.values())
@@ -134,7 +153,7 @@
             for writer in self.writers.values()
             for job in writer.shard.jobs.values()
             if not (job.cancelled or job.final or job.stale) and job.pending(1)
-            if not self.world.rests("job", job.id)
+            if not self.world.rests("job", job.id) and self._may_probe(job, now)
         ]
         if not jobs and not any(w.shard.shed for w in self.writers.values()):
             self.demands[self.world.node] = (now, [])
@@ -156,7 +175,8 @@
             self.world, self.rooms.all(), self.admission.spare, MOST_PICKS, self._may_stop
         )
         ordered = scheduler.order(self.world, jobs, self.world.wall_ms())
-        first = self.overload.first(ordered) if self.overload is not None else []
+        first = [(job, 1) for job in self._unbegun(jobs)]
+        first += self.overload.first(ordered) if self.overload is not None else []
         for job, most in first:
             if self._waits(job):
                 await self._pick(job, partial(found.place, most=most), True)
@@ -175,7 +195,7 @@
                 await self._pick(job, lambda j: self._preempting(j, stops, now))
         if self.overload is not None:
             self.overload.waited(found.waiting.values())
-            await self._gather(first, found, now)
+        await self._gather(first, found, now)
         await self._ask(self._moving(found.rooms, now))
         return True
 
@@ -229,7 +249,8 @@
 
     async def _gather(self, first: list[tuple[Job, int]], found: Round, now: float) -> None:
         """For work below its floor that found no room: machines that keep what comes free."""
-        assert self.overload is not None
+        if not first:
+            return
         rooms = {room.index for room in found.rooms}
         taken = {
             job.promised[task][0]
@@ -237,7 +258,7 @@
             for job in writer.shard.jobs.values()
             for task in job.gathering & job.promised.keys()
         }
-        left = int(self.overload.settings.gathers) - len(taken & rooms)
+        left = int(self.floors.gathers) - len(taken & rooms)
         for job, most in first:
             missed = found.waiting.get(job.index, (job, 0))[1]
             if left <= 0 or not missed or not self._waits(job):
@@ -362,8 +383,8 @@
                     job.retry_at[pick.task] = now + 0.1
                 elif got is not None and got.evicting:
                     keep_s = 2.0
-                    if pick.gather and self.overload is not None:
-                        keep_s = self.overload.settings.gather_s
+                    if pick.gather:
+                        keep_s = self.floors.gather_s
                     old = job.promised.get(pick.task, (pick.room.index, now + keep_s))
                     job.promised[pick.task] = old
                     job.retry_at[pick.task] = now + (GATHER_RETRY_S if pick.gather else 0.15)
--- a/starlingdeck/coordination/scheduler.py
+++ b/starlingdeck/coordination/scheduler.py
@@ -14,6 +14,7 @@
 STOPS_SCORED = 64  # (start) machines of which the best are asked for room by preemption
 LOST_WEIGHT = 0.3  # (start) a second of a stopped task's run against one of fetching
 HOPE = 0.8  # (start) of the owner's estimate, which is often too high
+FIRST_S = 120.0  # (start) after this a task of a job of which nothing has run goes before all
 SIZE_MS = 5.0  # (start) per processor-second of work: how much later a larger job counts as due
 
 
@@ -101,6 +102,16 @@
     return bool(due), size_ms + (FAR if not due else 0.0)
 
 
+def unbegun(job: Job, now_ms: int) -> bool:
+    """Whether nothing of a job has run, although it has waited for long.
+
+    In order of slack alone a class's largest jobs waited for as long as smaller ones came, and
+    one that was late for its aims behind all others of its rank.
+    """
+    begun = job.finished or job.places or job.failed_on
+    return not begun and now_ms - job.at_ms > FIRST_S * 1000
+
+
 def order(world: World, jobs: Iterable[Job], now_ms: int) -> list[Job]:
     """Guarantee first, then rank, then urgency."""
 
@@ -237,7 +248,7 @@
             return 0
         limit = min(self.most, most, self.spare(job))
         if len(job.failed_on) >= self.world.tuning.suspect_machines:
-            limit = min(limit, 1 - len(job.places))
+            limit = min(limit, 1 - job.used())
         return limit
 
     def place(self, job: Job, most: int = MANY) -> list[Pick]:
--- a/tests/model.py
+++ b/tests/model.py
@@ -131,6 +131,12 @@
     answered: float = 0.0
     tasks: dict[str, PlainTask] = field(default_factory=dict)
     completed: set[str] = field(default_factory=set)
+    deaf: bool = False  # its reports arrive, and nothing reaches it
+
+    def reborn(self, now: float) -> None:
+        """Back at once, and counting from the beginning."""
+        self.tasks.clear()
+        self.session, self.seq, self.token, self.answered = 1, 0, 0, now
 
     def expire(self, now: float) -> None:
         if now - self.answered > LEASE_S:
@@ -304,7 +310,7 @@
         choice = rng.choice(
             ["report"] * 6 + ["serve"] * 6 + ["mail"] * 6 + ["write"] * 4 + ["place"] * 3
             + ["orders"] * 4 + ["late", "submit", "work", "work", "own", "own", "own"]
-            + (["crash", "cut", "cancel"] if rng.random() < 0.1 else [])
+            + (["crash", "cut", "cancel", "deaf", "reborn"] if rng.random() < 0.1 else [])
         )  # fmt: skip
         for worker in self.workers.values():
             worker.expire(self.clock.at)
@@ -364,6 +370,13 @@
         node = self.rng.choice(self.nodes)
         node.client.cut = not node.client.cut
 
+    def do_deaf(self) -> None:
+        worker = self.rng.choice(list(self.workers.values()))
+        worker.deaf = not worker.deaf
+
+    def do_reborn(self) -> None:
+        self.rng.choice(list(self.workers.values())).reborn(self.clock.at)
+
     def do_submit(self) -> None:
         if len(self.accepted) >= 12:
             return
@@ -417,6 +430,8 @@
     def send_report(self, worker: PlainWorker) -> None:
         sent, session = self.clock.at, worker.session
         report = worker.report()
+        if self.rng.random() < 0.15:
+            self.late_reports.append(report)  # a copy, from seconds to well over a lease late
         for node in self.nodes:
             if self.rng.random() < 0.2:
                 self.late_reports.append(report)
@@ -437,7 +452,7 @@
         newer = seen is None or (report.session, report.seq) > seen.mark()
         machine = machines.take_report(report, True)
         commands = machines.commands_after(machine, node.valid()) if newer else []
-        if worker is not None and self.rng.random() < 0.85:
+        if worker is not None and not worker.deaf and self.rng.random() < 0.85:
             worker.answer(api.ReportReply(machines.token, commands), session, sent)
 
     def do_late(self) -> None:
@@ -458,7 +473,7 @@
             machines.shed()
             for machine in machines.reconcile():
                 orders = machines.orders(machine, valid)
-                if orders.commands or machine.back is not None or machine.ask or machine.unheard_do:
+                if orders.commands or machine.doubted or machine.unheard_do:
                     machine.busy = True
                     self.orders.append((machine.name, orders, machines, machine.mark()))
             if valid and machines.needs_new_token() and not node.client.cut:
@@ -521,6 +536,10 @@
             machine = machines.machines.get(machines.world.machines.put(name))
         if machine is not None:
             machine.busy = False
+        if worker.deaf:
+            if machine is not None and machines is not None:
+                machines.unanswered(machine, orders, True)
+            return
         if luck < 0.15:
             # Held back: the sender has given up, and it arrives later.
             self.orders.append((name, orders, None, None))
@@ -589,3 +608,5 @@
         for node in self.nodes:
             node.client.cut = False
             node.client.trouble = 0.0
+        for worker in self.workers.values():
+            worker.deaf = False
--- a/tests/test_hearing.py
+++ b/tests/test_hearing.py
@@ -1,14 +1,21 @@
 """What machines and controllers hear of each other: copies, half-open links, new lives."""
 
+import random
 from dataclasses import dataclass, field
 
-from starlingdeck.coordination.jobs import Job, JobShard, Place, new_job
+import pytest
+
+from starlingdeck.coordination.blame import FINE, Blame
+from starlingdeck.coordination.hearing import may_return
+from starlingdeck.coordination.jobs import Job, JobShard, Place, densest, new_job
 from starlingdeck.coordination.machines import MachineShard
+from starlingdeck.coordination.membership import Membership
 from starlingdeck.coordination.shards import job_shard
 from starlingdeck.coordination.sights import Sight, follow
 from starlingdeck.coordination.world import World
 from starlingdeck.protocol import api
 from starlingdeck.protocol import peer_pb2 as pb
+from starlingdeck.storage.records import CHUNK, ShardValue
 from tests.build import Clock, make_world, spec
 
 
@@ -83,3 +90,203 @@
     pair.held()
     pair.report()
     assert pair.exchange() == [] and job.ends  # there is room now
+
+
+def test_copies_renew_revive_and_prove_nothing() -> None:
+    """Each report put off the proof of its machine's silence, a copy of an old one as well."""
+    pair = Pair()
+    running = ("j-000001/0", 1, "running")
+    pair.report(running, seq=40)
+    job = pair.place()
+    assert pair.exchange() == [] and not job.ends
+    machine = pair.machines.machines[0]
+    for _ in range(3):  # it dies; copies come for longer than its lease
+        pair.clock.at += 5.0
+        copy = api.Report("vm-1", "x", "small", "b", 1, 40, pair.token)
+        assert pair.machines.passed_over(copy)
+        pair.machines.check_silence()
+    assert machine.dead and pair.machines.copies == 3
+    pair.exchange()
+    assert job.ends
+    # Of a deleted machine they bring nothing back, at whatever time.
+    pair.machines.mark_deleted("vm-1")
+    pair.clock.at += 100.0
+    pair.machines.reconcile()
+    assert pair.machines.passed_over(copy) and not pair.machines.machines
+
+
+def test_a_copy_that_comes_to_a_new_holder_proves_nothing() -> None:
+    """The worker is still answered by the former holder, whose token it knows; what the new one has
+    of it is a copy, or a report whose answer was lost. Silence after it proved a lease over."""
+    pair = Pair()
+    pair.report()
+    former = pair.token
+    pair.held(wait_s=20.0)
+    job = pair.place()
+    pair.report(("j-000001/0", 1, "running"), token=former)
+    machine = pair.machines.machines[0]
+    for _ in range(60):
+        pair.clock.at += 0.5
+        pair.machines.check_silence()
+        assert pair.exchange() == [] and not pair.machines.drawable(machine)
+        assert not machine.dead and not job.ends, "before the former holder was quiet"
+    pair.clock.at += 0.5
+    pair.machines.check_silence()
+    pair.exchange()
+    assert machine.dead and job.ends
+
+
+def test_a_machine_that_reports_and_hears_nothing_is_told_and_not_drawn() -> None:
+    """Its reports alone kept it drawable, and each start that it didn't answer raised the token of
+    its whole shard, which all other machines had to learn."""
+    pair = Pair()
+    pair.report(called=True)
+    machine, machines, first = pair.machines.machines[0], pair.machines, pair.token
+    assert machines.drawable(machine)
+    job, tokens = pair.place(), 0
+    for second in range(40):
+        pair.clock.at += 1.0
+        sent = pair.exchange()
+        if sent or machine.unheard_do or machine.back is not None:
+            machines.unanswered(machine, machines.orders(machine, True), True)
+        if machines.needs_new_token():
+            machines.token += 1
+            tokens += 1
+        if second % 5 == 4:  # a report every 5 s, and its lease ends all the same
+            pair.report(session=1 + second // 10, token=first)
+    assert tokens <= 3 and not machines.drawable(machine)
+    assert max(machines.deaf()) > 20.0
+    assert job.ends  # its session ended: proven
+    # Once it answers it is used again.
+    pair.token = machines.token
+    pair.report(session=5, called=True)
+    assert machines.drawable(machine) and machines.deaf() == []
+
+
+def test_only_few_that_hear_nothing_are_returned() -> None:
+    assert [may_return(n, 100) for n in (0, 1, 5, 6, 60)] == [0, 1, 5, 0, 0]
+    assert [may_return(n, 4) for n in (2, 3)] == [2, 0]
+
+
+def test_a_machine_back_at_once_counts_anew_only_by_an_answer_to_a_call() -> None:
+    """Its low numbers passed for old ones, and it was passed over for ever. A late copy looks just
+    the same, and a start sent to its former life may still come."""
+    pair = Pair()
+    machines = pair.machines
+    pair.report(("j-000001/0", 1, "running"), seq=40)
+    job = pair.place()
+    pair.exchange()
+    machine = machines.machines[0]
+    machine.doubt = 0
+    body = api.Report("vm-1", "x", "small", "b", 1, 3, 0)
+    assert machines.passed_over(body) and machine.ask
+    assert machine in machines.reconcile()  # it is to be called
+    asked = machine.mark()
+    assert asked == (1, 40)
+    # The first answer may have been overtaken by a start of its former life.
+    held = api.ReportTask("j-000001/0", 1, "running")
+    machines.take_report(api.Report("vm-1", "x", "small", "b", 1, 4, 6, tasks=[held]), False, asked)
+    assert machine.session == 1 and machines.needs_new_token() and not job.ends
+    orders = machines.orders(machine, True)
+    assert [c.op for c in orders.commands] == [api.STOP] and orders.session == 1
+    machines.token = pair.token = 7
+    machines.take_report(api.Report("vm-1", "x", "small", "b", 1, 5, 7), False, asked)
+    assert machine.session == 2 and machines.orders(machine, True).session == 1
+    pair.exchange()
+    assert job.ends and machines.drawable(machine)
+    # What comes late of its former life has lost: by its token.
+    assert machines.passed_over(api.Report("vm-1", "x", "small", "b", 1, 900, 6))
+    assert not machines.passed_over(api.Report("vm-1", "x", "small", "b", 1, 6, 7))
+    # A new holder learns from the lists that it has had more lives than it says.
+    pair.held()
+    job.ends.clear()
+    job.places[0].session = 2
+    pair.report(session=1, seq=8)
+    assert pair.exchange() and pair.machines.machines[0].session == 2
+
+
+def failing(
+    blame: Blame, jobs: range, machine: int, well: bool = False, elsewhere: bool = False
+) -> None:
+    for job in jobs:
+        blame.error(machine, job, 1)
+        if elsewhere:
+            blame.error(machine + 1, job, 2)
+        if well:
+            blame.learn(job, FINE)
+
+
+@pytest.mark.parametrize(
+    "case, jobs, well, elsewhere, sick",
+    [
+        ("one wrong job's many tasks", range(1), False, False, False),
+        ("wrong jobs that failed elsewhere too", range(9), False, True, False),
+        ("jobs of which nothing is known", range(3), False, False, True),
+        ("jobs that go well elsewhere", range(3), True, False, True),
+    ],
+)
+def test_a_machine_is_told_from_jobs_that_fail_everywhere(
+    case: str, jobs: range, well: bool, elsewhere: bool, sick: bool
+) -> None:
+    """Three tasks of one wrong job made a large machine sick, and it was returned."""
+    blame = Blame(3)
+    failing(blame, jobs, 5, well, elsewhere)
+    for attempt in range(30):
+        blame.error(5, jobs[0], attempt)
+    assert blame.sick(5) is sick, case
+    blame.done(5, 99)
+    assert not blame.sick(5)
+
+
+def test_thousands_of_jobs_that_fail_everywhere_take_few_machines() -> None:
+    """And a faulty machine is told in spite of them."""
+    clock = Clock()
+    machines = MachineShard(make_world(clock), 0, 3, 9, 0.0)
+    rng = random.Random(4)
+    for number in range(4000):
+        vm = f"vm-{number % 40}"
+        why = "error" if vm == "vm-7" or rng.random() < 0.7 else "done"
+        job = f"j-{rng.randrange(3000):06d}" if why == "error" else f"j-{9000 + number:06d}"
+        tasks = [api.ReportTask(f"{job}/0", number, "exited", why)]
+        machines.take_report(api.Report(vm, "x", "small", "a", 1, number + 1, 3, tasks=tasks), True)
+        ill = [m.name for m in machines.machines.values() if m.sick is not None]
+        assert len(ill) <= 4
+    for number in range(3):  # their holders say that these go well elsewhere
+        job = f"j-{8000 + number:06d}"
+        machines._learn(pb.Job(id=job, known=FINE))
+        tasks = [api.ReportTask(f"{job}/0", 1, "exited", "error")]
+        body = api.Report("vm-7", "x", "small", "a", 1, 9000 + number, 3, tasks=tasks)
+        machines.take_report(body, True)
+    assert machines.machines[machines.world.machines.put("vm-7")].sick is not None
+
+
+def test_the_chunks_with_most_in_them_are_written_first_and_the_lowest_with_them() -> None:
+    starts, ends = range(10 * CHUNK, 10 * CHUNK + 100), [n * CHUNK for n in range(8)]
+    assert densest([*starts, *ends], 3) == [0, 1, 10]
+    assert densest([*starts, *ends], 1) == [0] and densest([], 3) == []
+
+
+def test_starts_whose_room_is_gone_are_not_recorded() -> None:
+    pair = Pair()
+    job = pair.place()
+    place = job.places.pop(0)
+    place.until = pair.clock.at + 1.0
+    job.state[0] = 0
+    job.starts[0], job.versions[0] = place, 1
+    assert pair.jobs.draft(job) is not None
+    pair.clock.at += 0.8
+    assert pair.jobs.draft(job) is None and job.pending(1) == [0]
+
+
+def test_who_is_back_in_an_election_goes_on_counting_until_all_are_quiet() -> None:
+    """A controller took a shard from one that is cut off and goes on answering its workers, died
+    and was back at once: it took its own key over, and judged silence at once."""
+    clock = Clock()
+    world = make_world(clock)
+    membership = Membership(world, None, None)  # type: ignore[arg-type]
+    taken = ShardValue(0, 7, world.wall_ms() + int(world.outage_s * 1000))
+    off_s = 2 * world.settings.settings.skew_ms / 1000
+    for later, left in ((0.3, world.outage_s), (5.3, world.outage_s - 5.3 + off_s), (60.0, 0.0)):
+        clock.at = 1000.0 + later
+        assert abs(membership._left_s(taken) - min(left, world.outage_s)) < 1e-3
+    assert membership._left_s(ShardValue(0, 7)) == 0.0  # nobody was before
