--- a/starlingdeck/coordination/node.py
+++ b/starlingdeck/coordination/node.py
@@ -11,7 +11,7 @@
 from starlingdeck.coordination.cloud import CloudClient, CloudError, Fleet, learn_types
 from starlingdeck.coordination.exchange import Exchange
 from starlingdeck.coordination.gifts import Gifts
-from starlingdeck.coordination.jobs import JobShard
+from starlingdeck.coordination.jobs import Job, JobShard
 from starlingdeck.coordination.machines import Machine, MachineShard
 from starlingdeck.coordination.membership import Holder, Hooks, Membership
 from starlingdeck.coordination.overload import Overload
@@ -170,7 +170,7 @@
             if self.overload is not None:
                 for line in self.overload.lines():
                     log.info("%s", line)
-            for line in self._hearing_lines():
+            for line in (*self._hearing_lines(), *self._largest_lines()):
                 log.info("%s", line)
             if self.world.slices is not None:
                 for line in self.world.slices.lines():
@@ -185,6 +185,26 @@
                 f"{machines.copies} copies passed over"
             )
 
+    def _largest_lines(self) -> Iterator[str]:
+        """Of each class's largest tenth: what has waited longest to begin, and why it waits."""
+        classes: dict[tuple[str, str], list[Job]] = {}
+        for writer in self.writers.values():
+            for job in writer.shard.jobs.values():
+                classes.setdefault((job.spec.team, job.spec.cls), []).append(job)
+        wall_ms = self.world.wall_ms()
+        for (team, cls), jobs in sorted(classes.items()):
+            jobs.sort(key=lambda job: -job.spec.tasks * max(job.spec.cpus, 1e-9))
+            largest = jobs[: max(1, len(jobs) // 10)]
+            unbegun = [job for job in largest if not (job.finished or job.places)]
+            oldest = min(unbegun, key=lambda job: job.at_ms, default=None)
+            if oldest is not None:
+                why = ", ".join(w.because for w in self.admission.waits(oldest))
+                age_s = (wall_ms - oldest.at_ms) / 1000
+                yield (
+                    f"{team}/{cls}: oldest unbegun of the largest {oldest.id}, {oldest.spec.tasks} "
+                    f"tasks, {age_s:.0f} s, {why or 'no machine has room'}"
+                )
+
     def _waiting(self) -> Iterator[tuple[str, str, int, float]]:
         """The tasks here that wait for a machine, job by job."""
         wall_ms = self.world.wall_ms()
