Rooms by duty for machines, jobs and the minute's figures; no change of behaviour

Change: machine, machine_lists, machine_room, machine_views and machines; job and jobs; figures. Moved as it was.

--- a/scripts/counts_size.py
+++ b/scripts/counts_size.py
@@ -16,7 +16,8 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
 
-from starlingdeck.coordination.jobs import JobShard, Place, new_job
+from starlingdeck.coordination.job import Place, new_job
+from starlingdeck.coordination.jobs import JobShard
 from starlingdeck.coordination.membership import Holder
 from starlingdeck.coordination.node import Node
 from starlingdeck.coordination.sights import Sight
--- a/scripts/overload_size.py
+++ b/scripts/overload_size.py
@@ -17,7 +17,8 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
-from starlingdeck.coordination.jobs import JobShard, new_job
+from starlingdeck.coordination.job import new_job
+from starlingdeck.coordination.jobs import JobShard
 from starlingdeck.coordination.machines import MachineShard
 from starlingdeck.coordination.membership import Holder
 from starlingdeck.coordination.node import Node
--- a/starlingdeck/coordination/admission.py
+++ b/starlingdeck/coordination/admission.py
@@ -9,7 +9,8 @@
 
 from msgspec import Struct
 
-from starlingdeck.coordination.jobs import Draft, Job, JobShard
+from starlingdeck.coordination.job import Draft, Job
+from starlingdeck.coordination.jobs import JobShard
 from starlingdeck.coordination.world import MANY
 from starlingdeck.protocol import api
 from starlingdeck.protocol import peer_pb2 as pb
--- a/starlingdeck/coordination/node.py
+++ b/starlingdeck/coordination/node.py
@@ -2,7 +2,7 @@
 
 import contextlib
 import logging
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 
 import curio
 import msgspec
@@ -10,9 +10,11 @@
 from starlingdeck.coordination.admission import Admission, Durable
 from starlingdeck.coordination.cloud import CloudClient, CloudError, Fleet, learn_types
 from starlingdeck.coordination.exchange import Exchange
+from starlingdeck.coordination.figures import hearing, largest, waiting
 from starlingdeck.coordination.gifts import Gifts
-from starlingdeck.coordination.jobs import Job, JobShard
-from starlingdeck.coordination.machines import Machine, MachineShard
+from starlingdeck.coordination.jobs import JobShard
+from starlingdeck.coordination.machine import Machine
+from starlingdeck.coordination.machines import MachineShard
 from starlingdeck.coordination.membership import Holder, Hooks, Membership
 from starlingdeck.coordination.overload import Overload
 from starlingdeck.coordination.peers import Peers
@@ -162,7 +164,10 @@
     async def meters_loop(self) -> None:
         while True:
             await curio.sleep(METERS_EVERY_S)
-            for line in (*self.world.meters.lines(), *self.world.tally.lines(self._waiting())):
+            for line in (
+                *self.world.meters.lines(),
+                *self.world.tally.lines(waiting(self.world, self.writers)),
+            ):
                 log.info("%s", line)
             if self.admission.durable is not None:
                 for line in self.admission.durable.lines():
@@ -170,50 +175,15 @@
             if self.overload is not None:
                 for line in self.overload.lines():
                     log.info("%s", line)
-            for line in (*self._hearing_lines(), *self._largest_lines()):
+            for line in (
+                *hearing(self.machines),
+                *largest(self.world, self.writers, self.admission),
+            ):
                 log.info("%s", line)
             if self.world.slices is not None:
                 for line in self.world.slices.lines():
                     log.debug("%s", line)
 
-    def _hearing_lines(self) -> Iterator[str]:
-        for shard, machines in self.machines.items():
-            deaf = machines.deaf()
-            yield (
-                f"machines of shard {shard}: {len(machines.machines)} known, {len(deaf)} hear "
-                f"nothing, longest {max(deaf, default=0.0):.0f} s, "
-                f"{machines.copies} copies passed over"
-            )
-
-    def _largest_lines(self) -> Iterator[str]:
-        """Of each class's largest tenth: what has waited longest to begin, and why it waits."""
-        classes: dict[tuple[str, str], list[Job]] = {}
-        for writer in self.writers.values():
-            for job in writer.shard.jobs.values():
-                classes.setdefault((job.spec.team, job.spec.cls), []).append(job)
-        wall_ms = self.world.wall_ms()
-        for (team, cls), jobs in sorted(classes.items()):
-            jobs.sort(key=lambda job: -job.spec.tasks * max(job.spec.cpus, 1e-9))
-            largest = jobs[: max(1, len(jobs) // 10)]
-            unbegun = [job for job in largest if not (job.finished or job.places)]
-            oldest = min(unbegun, key=lambda job: job.at_ms, default=None)
-            if oldest is not None:
-                why = ", ".join(w.because for w in self.admission.waits(oldest))
-                age_s = (wall_ms - oldest.at_ms) / 1000
-                yield (
-                    f"{team}/{cls}: oldest unbegun of the largest {oldest.id}, {oldest.spec.tasks} "
-                    f"tasks, {age_s:.0f} s, {why or 'no machine has room'}"
-                )
-
-    def _waiting(self) -> Iterator[tuple[str, str, int, float]]:
-        """The tasks here that wait for a machine, job by job."""
-        wall_ms = self.world.wall_ms()
-        for writer in self.writers.values():
-            for job in writer.shard.jobs.values():
-                if tasks := len(job.pending(job.spec.tasks)):
-                    age_s = (wall_ms - job.at_ms) / 1000
-                    yield job.spec.team, job.spec.cls, tasks, age_s
-
     async def kept_types(self) -> list[api.MachineType]:
         """The machine types that a controller last read from the cloud."""
         try:
--- a/starlingdeck/coordination/overload.py
+++ b/starlingdeck/coordination/overload.py
@@ -10,7 +10,7 @@
 from msgspec import Struct
 
 from starlingdeck.coordination import tally
-from starlingdeck.coordination.jobs import Job
+from starlingdeck.coordination.job import Job
 from starlingdeck.coordination.machines import MachineShard
 from starlingdeck.coordination.scheduler import urgency
 from starlingdeck.coordination.world import World, total_of
--- a/starlingdeck/coordination/planner.py
+++ b/starlingdeck/coordination/planner.py
@@ -9,7 +9,8 @@
 from starlingdeck.coordination import placement, scheduler
 from starlingdeck.coordination.admission import Admission
 from starlingdeck.coordination.fleet import Demand
-from starlingdeck.coordination.jobs import Job, Place, job_message
+from starlingdeck.coordination.job import Job, Place
+from starlingdeck.coordination.jobs import job_message
 from starlingdeck.coordination.membership import Membership
 from starlingdeck.coordination.names import split_key
 from starlingdeck.coordination.overload import Overload
--- a/starlingdeck/coordination/scheduler.py
+++ b/starlingdeck/coordination/scheduler.py
@@ -5,7 +5,7 @@
 
 from msgspec import Struct
 
-from starlingdeck.coordination.jobs import Job, Place
+from starlingdeck.coordination.job import Job, Place
 from starlingdeck.coordination.placement import Draw, Room
 from starlingdeck.coordination.world import MANY, Size, World, fits, holds
 from starlingdeck.protocol import api
--- a/starlingdeck/coordination/users.py
+++ b/starlingdeck/coordination/users.py
@@ -8,7 +8,8 @@
 
 from starlingdeck.coordination import tally
 from starlingdeck.coordination.admission import Admission
-from starlingdeck.coordination.jobs import JobShard, new_job
+from starlingdeck.coordination.job import new_job
+from starlingdeck.coordination.jobs import JobShard
 from starlingdeck.coordination.membership import Membership
 from starlingdeck.coordination.peers import PeerDown, Peers
 from starlingdeck.coordination.shards import job_shard
--- a/starlingdeck/coordination/writer.py
+++ b/starlingdeck/coordination/writer.py
@@ -6,7 +6,8 @@
 import msgspec
 
 from starlingdeck.coordination.admission import Durable, Grant
-from starlingdeck.coordination.jobs import Draft, Job, JobShard, load_job
+from starlingdeck.coordination.job import Draft, Job, load_job
+from starlingdeck.coordination.jobs import JobShard
 from starlingdeck.coordination.world import World
 from starlingdeck.protocol import api
 from starlingdeck.storage import records
--- a/starlingdeck/counts/books.py
+++ b/starlingdeck/counts/books.py
@@ -7,7 +7,8 @@
 import msgspec
 from msgspec import Struct, field
 
-from starlingdeck.coordination.jobs import Job, JobShard, Place
+from starlingdeck.coordination.job import Job, Place
+from starlingdeck.coordination.jobs import JobShard
 from starlingdeck.coordination.world import World
 from starlingdeck.coordination.writer import Writer
 from starlingdeck.counts import ledger
--- a/starlingdeck/counts/gate.py
+++ b/starlingdeck/counts/gate.py
@@ -7,7 +7,8 @@
 from msgspec import Struct, field
 
 from starlingdeck.coordination.admission import Wait
-from starlingdeck.coordination.jobs import Job, JobShard
+from starlingdeck.coordination.job import Job
+from starlingdeck.coordination.jobs import JobShard
 from starlingdeck.coordination.membership import Membership
 from starlingdeck.coordination.world import MANY, World
 from starlingdeck.coordination.writer import Writer
--- a/starlingdeck/counts/ledger.py
+++ b/starlingdeck/counts/ledger.py
@@ -9,7 +9,7 @@
 import msgspec
 from msgspec import Struct
 
-from starlingdeck.coordination.machines import may_preempt
+from starlingdeck.coordination.machine import may_preempt
 from starlingdeck.protocol.api import MOST_UNITS
 
 
--- a/starlingdeck/counts/taking.py
+++ b/starlingdeck/counts/taking.py
@@ -3,7 +3,8 @@
 import logging
 from collections.abc import Callable
 
-from starlingdeck.coordination.jobs import Draft, Job, JobShard
+from starlingdeck.coordination.job import Draft, Job
+from starlingdeck.coordination.jobs import JobShard
 from starlingdeck.counts import ledger
 from starlingdeck.counts.books import Books
 from starlingdeck.counts.ledger import Ledger
--- a/tests/flood.py
+++ b/tests/flood.py
@@ -13,8 +13,10 @@
 import curio
 import msgspec
 
-from starlingdeck.coordination.jobs import JobShard, new_job
-from starlingdeck.coordination.machines import Machine, MachineShard
+from starlingdeck.coordination.job import new_job
+from starlingdeck.coordination.jobs import JobShard
+from starlingdeck.coordination.machine import Machine
+from starlingdeck.coordination.machines import MachineShard
 from starlingdeck.coordination.membership import Holder
 from starlingdeck.coordination.node import Node
 from starlingdeck.coordination.peers import PeerDown
--- a/tests/model.py
+++ b/tests/model.py
@@ -11,7 +11,8 @@
 
 import msgspec
 
-from starlingdeck.coordination.jobs import Job, JobShard, Place, job_message, new_job
+from starlingdeck.coordination.job import Job, Place, new_job
+from starlingdeck.coordination.jobs import JobShard, job_message
 from starlingdeck.coordination.machines import MachineShard
 from starlingdeck.coordination.shards import job_shard, machine_shard
 from starlingdeck.coordination.sights import Sight, follow
--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -8,7 +8,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from starlingdeck.coordination.jobs import JobShard, Place
+from starlingdeck.coordination.job import Place
+from starlingdeck.coordination.jobs import JobShard
 from starlingdeck.coordination.membership import Holder
 from starlingdeck.coordination.node import Node
 from starlingdeck.coordination.peers import PeerDown
--- a/tests/test_counts.py
+++ b/tests/test_counts.py
@@ -9,7 +9,8 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule, run_state_machine_as_test
 
-from starlingdeck.coordination.jobs import Job, JobShard, Place, new_job
+from starlingdeck.coordination.job import Job, Place, new_job
+from starlingdeck.coordination.jobs import JobShard
 from starlingdeck.coordination.writer import Writer
 from starlingdeck.counts.gate import Counts
 from starlingdeck.protocol import api
--- a/tests/test_counts_hard.py
+++ b/tests/test_counts_hard.py
@@ -11,7 +11,8 @@
 from hypothesis import strategies as st
 
 from starlingdeck.cli import main
-from starlingdeck.coordination.jobs import Job, JobShard, Place, new_job
+from starlingdeck.coordination.job import Job, Place, new_job
+from starlingdeck.coordination.jobs import JobShard
 from starlingdeck.coordination.sights import Sight
 from starlingdeck.counts import ledger
 from starlingdeck.counts.gate import Counts
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -7,7 +7,7 @@
 from hypothesis import strategies as st
 
 from starlingdeck.coordination import placement, scheduler, shards, shedding
-from starlingdeck.coordination.jobs import new_job
+from starlingdeck.coordination.job import new_job
 from starlingdeck.coordination.placement import Room
 from starlingdeck.coordination.scheduler import TeamJob
 from starlingdeck.protocol.settings import Objective
--- a/tests/test_doors.py
+++ b/tests/test_doors.py
@@ -6,14 +6,8 @@
 import pytest
 
 from starlingdeck.coordination import peers, users
-from starlingdeck.coordination.jobs import (
-    PLACED,
-    JobShard,
-    Place,
-    encode_chunk,
-    load_job,
-    new_job,
-)
+from starlingdeck.coordination.job import PLACED, Place, encode_chunk, load_job, new_job
+from starlingdeck.coordination.jobs import JobShard
 from starlingdeck.coordination.meters import Meters
 from starlingdeck.protocol import api
 from starlingdeck.protocol import peer_pb2 as pb
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -8,7 +8,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from starlingdeck.coordination.jobs import Job, JobShard, Place, job_message, new_job
+from starlingdeck.coordination.job import Job, Place, new_job
+from starlingdeck.coordination.jobs import JobShard, job_message
 from starlingdeck.coordination.machines import MachineShard
 from starlingdeck.coordination.membership import Holder
 from starlingdeck.coordination.names import task_key
--- a/tests/test_hearing.py
+++ b/tests/test_hearing.py
@@ -9,7 +9,8 @@
 
 from starlingdeck.coordination.blame import FINE, Blame
 from starlingdeck.coordination.hearing import may_return
-from starlingdeck.coordination.jobs import Job, JobShard, Place, densest, new_job
+from starlingdeck.coordination.job import Job, Place, densest, new_job
+from starlingdeck.coordination.jobs import JobShard
 from starlingdeck.coordination.machines import MachineShard
 from starlingdeck.coordination.membership import Holder, Membership
 from starlingdeck.coordination.node import Node
--- a/tests/test_machines.py
+++ b/tests/test_machines.py
@@ -1,14 +1,10 @@
 """The machine owner's part: reservations and preemption."""
 
-from starlingdeck.coordination.jobs import job_message, new_job
-from starlingdeck.coordination.machines import (
-    GONE_S,
-    MOST_PROBES,
-    PRUNE_S,
-    JobInfo,
-    MachineShard,
-    may_preempt,
-)
+from starlingdeck.coordination.job import new_job
+from starlingdeck.coordination.jobs import job_message
+from starlingdeck.coordination.machine import JobInfo, may_preempt
+from starlingdeck.coordination.machine_lists import GONE_S, PRUNE_S
+from starlingdeck.coordination.machines import MOST_PROBES, MachineShard
 from starlingdeck.protocol import api
 from starlingdeck.protocol import peer_pb2 as pb
 from tests.build import Clock, make_world, spec
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -6,7 +6,8 @@
 import curio
 import msgspec
 
-from starlingdeck.coordination.jobs import JobShard, Place, new_job
+from starlingdeck.coordination.job import Place, new_job
+from starlingdeck.coordination.jobs import JobShard
 from starlingdeck.coordination.machines import MachineShard
 from starlingdeck.coordination.membership import Holder
 from starlingdeck.coordination.node import Node
--- a/tests/test_order.py
+++ b/tests/test_order.py
@@ -5,7 +5,8 @@
 import curio
 
 from starlingdeck.coordination import scheduler
-from starlingdeck.coordination.jobs import Job, JobShard, Place, new_job
+from starlingdeck.coordination.job import Job, Place, new_job
+from starlingdeck.coordination.jobs import JobShard
 from starlingdeck.coordination.placement import Room
 from starlingdeck.coordination.scheduler import FIRST_S, Round
 from starlingdeck.coordination.world import World
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -3,7 +3,8 @@
 import curio
 
 from starlingdeck.coordination import tally
-from starlingdeck.coordination.jobs import Job, JobShard, Place, new_job
+from starlingdeck.coordination.job import Job, Place, new_job
+from starlingdeck.coordination.jobs import JobShard
 from starlingdeck.coordination.membership import Holder
 from starlingdeck.coordination.meters import Slices
 from starlingdeck.coordination.node import Node
