--- a/starlingdeck/coordination/cloud.py
+++ b/starlingdeck/coordination/cloud.py
@@ -129,6 +129,7 @@
                     item.state,
                     now - item.age_s,
                     now,
+                    booting=item.state == api.BOOTING,
                 )
             else:
                 old.state, old.last_seen = item.state, now
@@ -253,7 +254,7 @@
             self.state.no_capacity[key] = now + self._retry_s() / 2
         for name in names:
             self.state.listed[name] = Listed(
-                name, ask.type, ask.zone, ask.spot, api.BOOTING, now, now + 60.0
+                name, ask.type, ask.zone, ask.spot, api.BOOTING, now, now + 60.0, booting=True
             )
         log.info("rented %d of %d %s in %s: %s", len(names), ask.count, kind, ask.zone, names)
 
--- a/starlingdeck/coordination/fleet.py
+++ b/starlingdeck/coordination/fleet.py
@@ -10,6 +10,9 @@
 from starlingdeck.protocol import api
 
 MOST_ASKED = 50  # machines in one rental request, by the cloud's protocol
+FEW_BOOTS = 5  # (start) before the nominal time is given up for what was seen
+BOOTS_KEPT = 30
+MOST_BOOT = 4.0  # (start) times the nominal time: then it is returned as stuck
 MOST_WANTED = 200  # machines asked for in one go
 
 Bin = tuple[int, str, bool, list[float]]  # type, zone, spot, room
@@ -50,6 +53,7 @@
     rented: float
     last_seen: float
     last_up: float = -1e9
+    booting: bool = False  # when we first knew of it
 
 
 class FleetState(Struct):
@@ -57,16 +61,38 @@
     asks: list[Ask] = field(default_factory=list)
     no_capacity: dict[tuple[int, str, bool], float] = field(default_factory=dict)
     backoff: dict[tuple[int, str, bool], float] = field(default_factory=dict)
+    boots: dict[int, list[float]] = field(default_factory=dict)  # by type: the last, to nominal
     counter: int = 0
 
 
+def expected_s(world: World, state: FleetState, item: Listed) -> float:
+    """How long a machine's boot is waited for before it is replaced in the reckoning: by the boots
+    of its type that came lately. By the nominal time alone a wave of late boots was rented twice."""
+    kind = world.types.get(item.type)
+    boot_s = kind.boot_s if kind else 60.0
+    seen = sorted(state.boots.get(item.type, ()))
+    factor = 1.8
+    if len(seen) >= FEW_BOOTS:
+        factor = min(MOST_BOOT, max(1.2, 1.3 * seen[int(len(seen) * 0.9)]))
+    return boot_s * factor + 10
+
+
+def learn_boot(world: World, state: FleetState, item: Listed, now: float) -> None:
+    """A machine that we knew while it booted is up for the first time."""
+    kind = world.types.get(item.type)
+    if item.booting and kind is not None and kind.boot_s > 0:
+        item.booting = False
+        seen = state.boots.setdefault(item.type, [])
+        seen.append((now - item.rented) / kind.boot_s)
+        del seen[:-BOOTS_KEPT]
+
+
 def coming(world: World, state: FleetState, up: set[str], now: float) -> list[Listed]:
     """Machines that are paid for and should still come up."""
     found = []
     for item in state.listed.values():
-        kind = world.types.get(item.type)
-        boot = kind.boot_s if kind else 60.0
-        if item.name not in up and item.state != api.FAILED and now - item.rented < boot * 1.8 + 10:
+        late = now - item.rented >= expected_s(world, state, item)
+        if item.name not in up and item.state != api.FAILED and not late:
             found.append(item)
     return found
 
@@ -82,6 +108,7 @@
     found = []
     for item in state.listed.values():
         if item.name in up:
+            learn_boot(world, state, item, now)
             item.last_up = now
             continue
         kind = world.types.get(item.type)
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -123,3 +123,22 @@
     found = fleet.together([need, other, need])
     assert [(d.size[0], d.count) for d in found] == [(4.0, 6), (2.0, 1)]
     assert need.count == 3
+
+
+def test_late_boots_are_waited_for_as_long_as_those_that_came_took() -> None:
+    """Replaced after 1.8 times the nominal time, a wave of late boots was rented twice."""
+    clock = Clock()
+    world = make_world(clock)
+    boot = world.types[world.type_names.put("small")].boot_s
+    for ratio, waits in ((0.05, 1.2), (1.0, 1.3), (2.5, 3.25), (9.0, 4.0), (None, 1.8)):
+        state = FleetState()
+        for i in range(8 if ratio is not None else 0):
+            item = listed(world, f"vm-{i}", api.BOOTING, clock.at)
+            item.booting = True
+            state.listed[item.name] = item
+            fleet.stuck(world, state, {item.name}, clock.at, clock.at + boot * (ratio or 0.0))
+        late = state.listed["vm-9"] = listed(world, "vm-9", api.BOOTING, clock.at)
+        up = state.listed.keys() - {"vm-9"}
+        due = clock.at + boot * waits + 10
+        assert fleet.coming(world, state, up, due - 0.1) == [late]
+        assert fleet.coming(world, state, up, due + 0.1) == []
