--- a/starlingdeck/coordination/fleet.py
+++ b/starlingdeck/coordination/fleet.py
@@ -67,7 +67,7 @@
 
 def expected_s(world: World, state: FleetState, item: Listed) -> float:
     """How long a machine's boot is waited for before it is replaced in the reckoning: by the boots
-    of its type that came lately. By the nominal time alone a wave of late boots was rented twice."""
+    of its type that came lately. By the nominal time alone a late wave was rented twice."""
     kind = world.types.get(item.type)
     boot_s = kind.boot_s if kind else 60.0
     seen = sorted(state.boots.get(item.type, ()))
