After all troubles every healthy controller answers for a job within 75 s; tests of health and returns

Need: a job about which no question is answered for 75 s counts as forgotten, however others fare.

Change: the plain world of answers ends its troubles and asks every healthy controller; controllers are back at once in it, with what they sent before still on its way. Whoever has neither state service nor peers is not healthy: a table.

--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -25,6 +25,7 @@
 
 NODES = 3
 TTL_S = 2.5
+FORGOTTEN_S = 75.0  # the operators' bound on a job's questions without an answer
 JOB = "j-000001"
 SHARD = job_shard(JOB, NODES)
 
@@ -79,11 +80,11 @@
             if not self.clients[number].cut:
                 await self.hear(number)
 
-    async def take_over(self) -> None:
+    async def take_over(self, first: int = 0) -> None:
         able = [i for i in range(NODES) if not self.clients[i].cut]
         if not able:
             return
-        self.holder = able[0]
+        self.holder = first if first in able else able[0]
         gen = self.state.rng.getrandbits(40)
         change = put(records.shard_key(SHARD), records.ShardValue(self.holder, gen))
         assert not self.state.apply({records.shard_key(SHARD): 0}, [change])
@@ -114,6 +115,14 @@
             client.trouble = 0.0 if client.trouble else 0.6
         elif verb == "late" and self.state.late:
             self.state.apply(*self.state.late.pop(0))
+        elif verb == "restart":
+            # Back within a fraction of a second: what it has sent may still be executed.
+            self.nodes[number] = self.start(number)
+            if number == self.holder:
+                self.holder = -1
+                del self.state.keys[records.shard_key(SHARD)]
+                if not client.cut:
+                    await self.take_over(number)
         elif verb == "outage":
             down = not all(c.cut for c in self.clients)
             for each in self.clients:
@@ -127,6 +136,22 @@
         elif verb == "cancel":
             await self.ask(node, "POST", f"{api.JOBS}/{JOB}/{api.CANCEL}", b"")
 
+    async def over(self) -> None:
+        """All troubles are over: soon every healthy controller answers for the job."""
+        self.parted.clear()
+        self.deaf.clear()
+        for client in self.clients:
+            client.cut, client.trouble = False, 0.0
+        asked, began = set(range(NODES)), self.clock.at
+        while asked:
+            assert self.clock.at - began < FORGOTTEN_S, "forgotten"
+            await self.tick(3.0)
+            for number in list(asked):
+                node = self.nodes[number]
+                look = Request("GET", f"{api.JOBS}/{JOB}", b"")
+                if node.health().status != 200 or (await node.serve(look)).status == 200:
+                    asked.discard(number)
+
     async def finish(self) -> None:
         """The holder learns that the task ran to its end, and writes what it can."""
         if self.holder < 0:
@@ -163,7 +188,7 @@
 
 
 VERBS = ["look"] * 5 + ["cancel", "cancel", "submit", "finish", "finish"]
-VERBS += ["cut", "part", "part", "deaf", "deaf", "trouble", "trouble", "late", "outage"]
+VERBS += ["restart", "cut", "part", "part", "deaf", "deaf", "trouble", "trouble", "late", "outage"]
 STEPS = st.tuples(
     st.sampled_from(VERBS),
     st.integers(0, NODES - 1),
@@ -344,6 +369,8 @@
     current[:] = [Deck(seed)]
     current[0].parted, current[0].deaf = parted, deaf
     curio.run(play, current[0], [("submit", 0, 0, 0.1), *steps])
+    if current[0].known:
+        curio.run(current[0].over)
 
 
 def test_what_was_told_never_goes_back(deck: list[Deck]) -> None:
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -5,6 +5,7 @@
 
 import curio
 import msgspec
+import pytest
 
 from starlingdeck.coordination.job import Place, new_job
 from starlingdeck.coordination.jobs import JobShard
@@ -75,6 +76,22 @@
     assert clock.at - machine.answered <= 10.0
 
 
+@pytest.mark.parametrize(
+    "state, peer, healthy",
+    [(True, True, True), (True, False, True), (False, True, True), (False, False, False)],
+)
+def test_who_has_neither_state_service_nor_peers_is_not_healthy(
+    state: bool, peer: bool, healthy: bool
+) -> None:
+    """It renewed its workers' leases for 20 s more, and refused the users that it was sent."""
+    clock = Clock()
+    node = Node(make_world(clock))
+    node.membership.lease, node.membership.renewed = 1, clock.at - (0.0 if state else 5.0)
+    node.peers.up = lambda n: peer and n == 1  # type: ignore[method-assign, assignment]
+    assert node.membership.may_renew_workers()
+    assert (node.health().status == 200) is healthy
+
+
 def test_a_shard_goes_back_to_a_living_controller_that_we_can_not_reach() -> None:
     """Zones were cut while both controllers of one zone restarted: the other zone's kept
     their shards, whose workers it couldn't reach, and their leases ended."""
