Each safeguard of what is heard has a test that turns red without it

Change: one test for each sign that a machine hears nothing; a new life's token and its tasks asked apart.

--- a/tests/test_hearing.py
+++ b/tests/test_hearing.py
@@ -167,6 +167,23 @@
     assert machines.drawable(machine) and machines.deaf() == []
 
 
+@pytest.mark.parametrize("sign", ["two calls without an answer", "a new session", "silence"])
+def test_each_sign_that_a_machine_hears_nothing_counts_alone(sign: str) -> None:
+    pair = Pair()
+    pair.report(called=True)
+    machine, machines = pair.machines.machines[0], pair.machines
+    for _ in range(2 if sign.startswith("two") else 0):
+        assert machines.drawable(machine)
+        machines.unanswered(machine, machines.orders(machine, True), True)
+    pair.clock.at += 9.0 if sign == "silence" else 0.5
+    pair.report(session=2 if sign == "a new session" else 1)
+    assert not machines.drawable(machine)
+    pair.clock.at += 2.0
+    assert machine in machines.reconcile()  # it is to be called
+    pair.report(session=machine.session, called=True)
+    assert machines.drawable(machine)
+
+
 def test_only_few_that_hear_nothing_are_returned() -> None:
     assert [may_return(n, 100) for n in (0, 1, 5, 6, 60)] == [0, 1, 5, 0, 0]
     assert [may_return(n, 4) for n in (2, 3)] == [2, 0]
@@ -187,12 +204,15 @@
     assert machine in machines.reconcile()  # it is to be called
     asked = machine.mark()
     assert asked == (1, 40)
-    # The first answer may have been overtaken by a start of its former life.
+    # The answer may come before a start of its former life, which it must not know the token of,
+    # or after, which must have stopped.
     held = api.ReportTask("j-000001/0", 1, "running")
-    machines.take_report(api.Report("vm-1", "x", "small", "b", 1, 4, 6, tasks=[held]), False, asked)
-    assert machine.session == 1 and machines.needs_new_token() and not job.ends
-    orders = machines.orders(machine, True)
-    assert [c.op for c in orders.commands] == [api.STOP] and orders.session == 1
+    for token, tasks in ((6, []), (7, [held])):
+        body = api.Report("vm-1", "x", "small", "b", 1, 4, token, tasks=tasks)
+        machines.take_report(body, False, asked)
+        assert machine.session == 1 and machines.needs_new_token() and not job.ends
+        orders = machines.orders(machine, True)
+        assert [c.op for c in orders.commands] == [api.STOP] * len(tasks) and orders.session == 1
     machines.token = pair.token = 7
     machines.take_report(api.Report("vm-1", "x", "small", "b", 1, 5, 7), False, asked)
     assert machine.session == 2 and machines.orders(machine, True).session == 1
