A link is closed when nobody waits for its socket any more

Cause: a send that failed closed the link under its reader and writer.

Change: reader and writer end first, on every path; close waits for those who send.

Tests: two on loopback, red before.

--- a/starlingdeck/coordination/peers.py
+++ b/starlingdeck/coordination/peers.py
@@ -61,24 +61,25 @@
         wait = self.world.tuning.reply_wait_s
         while True:
             link: FrameLink | None = None
+            users: list[curio.Task] = []
             try:
                 link = await dial(address, wait)
                 self.links[node] = link
-                reader = await curio.spawn(self._read_replies, node, link, daemon=True)
-                writer = await curio.spawn(link.drain, wait, daemon=True)
+                users.append(await curio.spawn(self._read_replies, node, link, daemon=True))
+                users.append(await curio.spawn(link.drain, wait, daemon=True))
                 sent = self.world.now()
                 while not link.closed:
                     await self.send(node, pb.Envelope(hello=self.hello()))
                     await curio.sleep(0.5)
                     if self.world.now() - max(sent, self.heard.get(node, 0.0)) > wait:
                         break
-                await reader.cancel()
-                await writer.cancel()
             except (OSError, curio.TaskTimeout, PeerDown) as fault:
                 log.debug("peer %d: %r", node, fault)
             finally:
                 if self.links.get(node) is link:
                     self.links.pop(node, None)
+                for user in users:
+                    await user.cancel()
                 if link is not None:
                     await link.close()
             await curio.sleep(0.3 + 0.3 * self.world.rng.random())
--- a/starlingdeck/transport/frames.py
+++ b/starlingdeck/transport/frames.py
@@ -11,6 +11,7 @@
 
 MAX_FRAME = 4 * 1024 * 1024
 MAX_BACKLOG = 2 * 1024 * 1024
+CLOSING_S = 0.02
 LENGTH = struct.Struct("!I")
 
 
@@ -21,6 +22,7 @@
         self.sock = sock
         self.lock = curio.Lock()
         self.closed = False
+        self.senders = 0
         self.backlog = bytearray()
         self.waiting = curio.Event()
 
@@ -45,8 +47,14 @@
             self.closed = True
 
     async def send(self, payload: bytes, timeout_s: float) -> None:
-        async with curio.timeout_after(timeout_s), self.lock:
-            await self.sock.sendall(LENGTH.pack(len(payload)) + payload)
+        self.senders += 1
+        try:
+            async with curio.timeout_after(timeout_s), self.lock:
+                if self.closed:
+                    raise ConnectionError("the link is closed")
+                await self.sock.sendall(LENGTH.pack(len(payload)) + payload)
+        finally:
+            self.senders -= 1
 
     async def receive(self) -> bytes:
         (size,) = LENGTH.unpack(await self._exactly(LENGTH.size))
@@ -64,7 +72,11 @@
         return bytes(parts)
 
     async def close(self) -> None:
+        """Who reads must have ended before. A socket closed under a task that waits for it stays
+        registered for that, and the next one with its number ends the whole process."""
         self.closed = True
+        while self.senders:  # each for its time-out at the most
+            await curio.sleep(CLOSING_S)
         await self.sock.close()
 
 
--- a/tests/test_transport.py
+++ b/tests/test_transport.py
@@ -1,16 +1,19 @@
-"""The pooled client against a server on loopback."""
+"""The pooled client and the links between controllers, on loopback."""
+
+import socket as plain
 
 import curio
+import curio.io
 import pytest
 from curio import socket
 
 from starlingdeck.coordination.node import Node
-from starlingdeck.coordination.peers import PeerDown
+from starlingdeck.coordination.peers import PeerDown, Peers
 from starlingdeck.protocol import peer_pb2 as pb
 from starlingdeck.storage.state import Conflict, StateClient, StateLimit, drop
 from starlingdeck.transport.client import HttpClient, Reply
-from starlingdeck.transport.frames import FrameLink
-from starlingdeck.transport.server import HttpServer, Request, Response
+from starlingdeck.transport.frames import MAX_FRAME, FrameLink, dial
+from starlingdeck.transport.server import HttpServer, Request, Response, listen
 from tests.build import Clock, make_world
 
 
@@ -80,3 +83,80 @@
     with pytest.raises(Conflict) as caught:
         curio.run(client.txn, {"a/b": 3}, [drop("a/b")])
     assert caught.value.failed == ["a/b"]
+
+
+async def silent_listener() -> tuple[curio.io.Socket, str]:
+    sock = listen(("127.0.0.1", 0))
+    host, port = sock._socket.getsockname()
+    return sock, f"{host}:{port}"
+
+
+async def usable(number: int) -> bool:
+    """Whether a new socket with that file number can be waited for."""
+    ours, theirs = plain.socketpair()
+    others: list[tuple[plain.socket, plain.socket]] = []
+    while ours.fileno() != number and len(others) < 20:
+        others.append((ours, theirs))
+        ours, theirs = plain.socketpair()
+    theirs.send(b"x")
+    ours.setblocking(False)
+    async with curio.timeout_after(2.0), curio.io.Socket(ours) as sock:
+        await sock.recv(1)
+        await curio.spawn(later, theirs, daemon=True)
+        found = bool(await sock.recv(1)) and sock.fileno() == number
+    for pair in (*others, (theirs,)):
+        for one in pair:
+            one.close()
+    return found
+
+
+async def later(sock: plain.socket) -> None:
+    await curio.sleep(0.05)
+    sock.send(b"y")
+
+
+def test_a_link_that_fails_to_send_leaves_nobody_waiting_for_its_socket() -> None:
+    """After a freeze a send failed; the link was closed under the task that read from it. The next
+    connection with the same file number found that task still registered, and the process ended."""
+
+    async def drive() -> bool:
+        sock, address = await silent_listener()
+        numbers = []
+
+        async def failing(node: int, envelope: pb.Envelope) -> None:
+            numbers.append(peers.links[node].sock.fileno())
+            await curio.sleep(0.05)  # the reader waits by now
+            raise PeerDown("no time left")
+
+        async def nothing(*_: object) -> None:
+            pass
+
+        peers = Peers(make_world(Clock()), nothing, pb.Hello, nothing)  # type: ignore[arg-type]
+        peers.send = failing  # type: ignore[method-assign]
+        task = await curio.spawn(peers._keep_link, 1, address, daemon=True)
+        await curio.sleep(0.2)
+        found = await usable(numbers[0])
+        await task.cancel()
+        await sock.close()
+        return found
+
+    assert curio.run(drive)
+
+
+def test_a_link_is_closed_when_all_who_send_on_it_have_ended() -> None:
+    async def drive() -> BaseException | None:
+        sock, address = await silent_listener()
+        link = await dial(address, 1.0)
+        sender = await curio.spawn(link.send, bytes(MAX_FRAME * 2), 0.3, daemon=True)
+        await curio.sleep(0.1)  # nobody reads: it waits
+        await link.close()
+        with pytest.raises(curio.TaskError) as ended:
+            await sender.join()
+        with pytest.raises(ConnectionError):
+            await link.send(b"late", 0.1)
+        await sock.close()
+        cause: BaseException | None = ended.value.__cause__
+        return cause
+
+    # Not of a socket that was closed under it.
+    assert isinstance(curio.run(drive), curio.TaskTimeout)
