Said once: errors that are sure, a boot's nominal time, whether a report is the newest

Need: found on reading the whole change again. A report was compared three times with what is known; late boots were reckoned, with a sort, for machines that are up; the sure errors were counted in two places.

--- a/starlingdeck/coordination/blame.py
+++ b/starlingdeck/coordination/blame.py
@@ -49,14 +49,15 @@
     def sick(self, machine: int) -> bool:
         """By errors of jobs that go well elsewhere; of others, each job counts once."""
         found = self.errors.get(machine, ())
-        sure = sum(self.of(job) == FINE for job, _ in found)
         doubtful = {job for job, _ in found if self.of(job) == UNKNOWN}
-        return sure + len(doubtful) >= self.enough
+        return self._sure(machine) + len(doubtful) >= self.enough
 
     def surely(self, machine: int) -> bool:
         """Sick by the errors of jobs alone that go well elsewhere."""
-        found = self.errors.get(machine, ())
-        return sum(self.of(job) == FINE for job, _ in found) >= self.enough
+        return self._sure(machine) >= self.enough
+
+    def _sure(self, machine: int) -> int:
+        return sum(self.of(job) == FINE for job, _ in self.errors.get(machine, ()))
 
     def keep(self, jobs: Iterable[int], machines: Iterable[int]) -> None:
         """Forget all others."""
--- a/starlingdeck/coordination/fleet.py
+++ b/starlingdeck/coordination/fleet.py
@@ -65,16 +65,20 @@
     counter: int = 0
 
 
+def boot_s(world: World, item: Listed) -> float:
+    """The nominal boot time of a machine's type."""
+    kind = world.types.get(item.type)
+    return kind.boot_s if kind else 60.0
+
+
 def expected_s(world: World, state: FleetState, item: Listed) -> float:
     """How long a machine's boot is waited for before it is replaced in the reckoning: by the boots
     of its type that came lately. By the nominal time alone a late wave was rented twice."""
-    kind = world.types.get(item.type)
-    boot_s = kind.boot_s if kind else 60.0
     seen = sorted(state.boots.get(item.type, ()))
     factor = 1.8
     if len(seen) >= FEW_BOOTS:
         factor = min(MOST_BOOT, max(1.2, 1.3 * seen[int(len(seen) * 0.9)]))
-    return boot_s * factor + 10
+    return boot_s(world, item) * factor + 10
 
 
 def learn_boot(world: World, state: FleetState, item: Listed, now: float) -> None:
@@ -91,8 +95,9 @@
     """Machines that are paid for and should still come up."""
     found = []
     for item in state.listed.values():
-        late = now - item.rented >= expected_s(world, state, item)
-        if item.name not in up and item.state != api.FAILED and not late:
+        if item.name in up or item.state == api.FAILED:
+            continue
+        if now - item.rented < expected_s(world, state, item):
             found.append(item)
     return found
 
@@ -111,11 +116,9 @@
             learn_boot(world, state, item, now)
             item.last_up = now
             continue
-        kind = world.types.get(item.type)
-        boot = kind.boot_s if kind else 60.0
         watched = now - max(started, item.rented, item.last_up)
         if item.state == api.BOOTING:
-            late = now - item.rented > boot * 4 + 30 and watched > 30
+            late = now - item.rented > boot_s(world, item) * 4 + 30 and watched > 30
         else:
             late = watched > 90
         if late:
--- a/starlingdeck/coordination/machine_lists.py
+++ b/starlingdeck/coordination/machine_lists.py
@@ -30,8 +30,9 @@
         self.gen = gen
         # Until then another node may have been renewing the leases of our silent workers.
         self.quiet_until = world.now() + wait_s + world.silence_s
-        report_s = world.settings.settings.workers.report_s
-        self.fresh_s = 2.5 * report_s + 0.5
+        workers = world.settings.settings.workers
+        self.fresh_s = 2.5 * workers.report_s + 0.5
+        self.lease_s = workers.lease_s
         self.machines: dict[int, Machine] = {}
         self.jobs: dict[int, JobInfo] = {}
         self.wants: dict[int, dict[int, dict[int, Want]]] = {}
--- a/starlingdeck/coordination/machine_views.py
+++ b/starlingdeck/coordination/machine_views.py
@@ -87,7 +87,7 @@
             notice=m.notice_until is not None,
             silent_s=world.now() - m.heard,
             idle_s=world.now() - m.empty_since,
-            deaf_s=m.deaf_s(world.now(), world.settings.settings.workers.lease_s),
+            deaf_s=m.deaf_s(world.now(), self.lease_s),
         )
         entry.fetching.extend(self._fetching(m))
         entry.youngest_s.extend(self._youngest(m))
--- a/starlingdeck/coordination/machines.py
+++ b/starlingdeck/coordination/machines.py
@@ -476,6 +476,6 @@
 
     def deaf(self) -> list[float]:
         """For each machine that reports and shows no sign of hearing us: for how long."""
-        now, lease_s = self.world.now(), self.world.settings.settings.workers.lease_s
-        ages = [m.deaf_s(now, lease_s) for m in self.machines.values() if not m.dead]
-        return [age for age in ages if age > lease_s]
+        now = self.world.now()
+        ages = [m.deaf_s(now, self.lease_s) for m in self.machines.values() if not m.dead]
+        return [age for age in ages if age > self.lease_s]
--- a/starlingdeck/coordination/reports.py
+++ b/starlingdeck/coordination/reports.py
@@ -19,15 +19,6 @@
 log = logging.getLogger(__name__)
 
 REPORT = "REPORT"
-
-
-class Trial(Struct):
-    """One stray that was sent to its holder, to see whether workers reach it again."""
-
-    machine: int  # none: one came back, and nobody is sent until STRAY_S after
-    at: float
-
-
 SILENT_S = 5.0  # what a worker loses at each node that doesn't answer it
 SLACK_S = 3.0
 SETTLED_S = 10.0  # (start) how long after a new hold its workers still come from the former one
@@ -36,6 +27,13 @@
 NOBODY = -1
 
 
+class Trial(Struct):
+    """One stray that was sent to its holder, to see whether workers reach it again."""
+
+    machine: int  # NOBODY: one came back, and nobody is sent until STRAY_S after
+    at: float
+
+
 class Reports:
     def __init__(
         self,
@@ -75,10 +73,8 @@
             self.news = True
             return fault(503, "an old report")
         valid = self.membership.valid()
-        fresh = self.world.machines.get(report.machine)
-        seen = machines.machines.get(fresh) if fresh is not None else None
-        newer = seen is None or (report.session, report.seq) > seen.mark()
         machine = machines.take_report(report, True)
+        newer = machine.mark() == (report.session, report.seq)  # nothing has overtaken it
         if machines.due or machines.changed:
             self.news = True
         commands = machines.commands_after(machine, valid) if newer else []
--- a/tests/model.py
+++ b/tests/model.py
@@ -448,10 +448,8 @@
             return
         if machines.passed_over(report):
             return
-        index = node.world.machines.put(report.machine)
-        seen = machines.machines.get(index)
-        newer = seen is None or (report.session, report.seq) > seen.mark()
         machine = machines.take_report(report, True)
+        newer = machine.mark() == (report.session, report.seq)
         commands = machines.commands_after(machine, node.valid()) if newer else []
         if worker is not None and not worker.deaf and self.rng.random() < 0.85:
             worker.answer(api.ReportReply(machines.token, commands), session, sent)
