A lease is renewed only on a recent word of the holders of the jobs on the machine

Need: a machine's holder renewed for outage_s after its own last renewal, though the list with a cancellation may never have come to it: where the job holder's successor crashes or still reads when the state service goes out, tasks could stay past cancel_s of the confirmation. Views carry a stamp, lists echo it and come every second; a report is answered 200 only while every shard of jobs with work on the machine has spoken within word_s (cancel_s less a lease and 2 s); no start is sent on an older word. Found on the way through every transaction and mended: a takeover carried out late, after another hold, showed a quiet time from before it (a key per shard changes with each takeover); a former holder could drop a note in the new one's name; a cancellation of unknown fate is settled before the holder gives its word; a holder tells no cancellation that isn't in its own lists; a node key lost or never written is announced again.

--- a/starlingdeck/coordination/exchange.py
+++ b/starlingdeck/coordination/exchange.py
@@ -132,22 +132,35 @@
             if not jobs.loaded:
                 continue
             for to, holder in list(self.membership.holders.items()):
+                if not self.membership.valid():
+                    return  # what came before has waited: only a sure holder gives its word
                 out = jobs.outs[to]
-                unheard = out.acked < out.seq and now - out.sent_at >= REPEAT_S
+                # With nothing to say as well: a list is the word that nothing more is cancelled.
+                again = now - out.sent_at >= REPEAT_S
+                unheard = again and out.acked < out.seq
+                echo = self._echo(jobs, to, holder.gen)
                 if holder.node == self.world.node:
                     machines = self.machines.get(to)
-                    if machines is not None and (out.news or unheard or out.gen != holder.gen):
-                        self.take_wants(jobs.wants(to, holder.gen, unheard))
+                    if machines is not None and (out.news or again or out.gen != holder.gen):
+                        self.take_wants(jobs.wants(to, holder.gen, unheard, echo))
                     continue
                 link = self.peers.links.get(holder.node)
                 if link is None:
                     continue
                 moved = self.want_links.get((jobs.shard, to)) is not link
-                if out.news or out.gen != holder.gen or unheard or moved:
+                if out.news or out.gen != holder.gen or again or moved:
                     self.want_links[(jobs.shard, to)] = link
-                    wants = jobs.wants(to, holder.gen, unheard or moved)
+                    wants = jobs.wants(to, holder.gen, unheard or moved, echo)
                     await self.peers.post(holder.node, pb.Envelope(wants=wants))
 
+    def _echo(self, jobs: JobShard, shard: int, gen: int) -> int:
+        """The latest time, by a machine shard's holder, that has come here from it; 0 while a
+        cancellation may be recorded that isn't in our list."""
+        if jobs.unknown_cancels():
+            return 0
+        sight = self.sights.get(shard)
+        return sight.stamp_ms if sight is not None and sight.gen == gen else 0
+
     def take_wants(self, wants: pb.Wants) -> None:
         machines = self.machines.get(wants.to_shard)
         if machines is not None:
@@ -157,8 +170,9 @@
 
     def detour(self, now: float, hello: Callable[[], pb.Hello]) -> list[tuple[int, str]]:
         """Messages for peers that can't be reached directly, each packed as one text."""
-        found = []
-        valid = self.membership.valid()
+        found: list[tuple[int, str]] = []
+        if not (valid := self.membership.valid()):
+            return found
         for node in range(self.world.shards):
             if node == self.world.node or self.peers.up(node):
                 continue
@@ -175,7 +189,9 @@
                 jobs = writer.shard
                 for to, holder in self.membership.holders.items():
                     if holder.node == node and jobs.loaded:
-                        batch.append(pb.Envelope(wants=jobs.wants(to, holder.gen, True)))
+                        echo = self._echo(jobs, to, holder.gen)
+                        wants = jobs.wants(to, holder.gen, True, echo)
+                        batch.append(pb.Envelope(wants=wants))
                         self.want_links.pop((jobs.shard, to), None)
             found.append((node, pack(batch)))
         return found
--- a/starlingdeck/coordination/jobs.py
+++ b/starlingdeck/coordination/jobs.py
@@ -51,6 +51,7 @@
         self.shed: set[int] = set()  # keys of the tasks that their machine gives up
         self.use: dict[int, int] = {}  # count -> units that the recorded attempts hold
         self.released = False  # since the last plan: units of counts came free
+        self.cancelling: set[int] = set()  # cancellations sent whose fate may not be known
         self.replicas = False  # since the last plan: replicas came, or lost their place
 
     # --- the jobs, and where their tasks are
@@ -222,8 +223,21 @@
 
     # --- what is wanted
 
-    def wants(self, to_shard: int, to_gen: int, whole: bool = False) -> pb.Wants:
-        """What this shard wants of a machine shard: the difference to the last list, or all."""
+    def unknown_cancels(self) -> set[int]:
+        """Jobs that may be recorded, and so called, cancelled without this holder knowing."""
+        self.cancelling = {
+            i
+            for i in self.cancelling
+            if (job := self.jobs.get(i)) is not None and job.unsure and not job.cancelled
+        }
+        return self.cancelling
+
+    def wants(self, to_shard: int, to_gen: int, whole: bool = False, echo_ms: int = 0) -> pb.Wants:
+        """What this shard wants of a machine shard: the difference to the last list, or all.
+
+        To be made only while the shard surely is ours: its receiver takes it for the word that
+        nothing else was cancelled up to the time that it echoes.
+        """
         world, out = self.world, self.outs[to_shard]
         whole = whole or out.whole or out.gen != to_gen
         if out.gen != to_gen:
@@ -236,6 +250,7 @@
             to_gen=to_gen,
             seq=out.seq,
             whole=whole,
+            echo_ms=echo_ms,
         )
         numbers: dict[int, int] = {}
         if whole:
--- a/starlingdeck/coordination/machine_lists.py
+++ b/starlingdeck/coordination/machine_lists.py
@@ -1,6 +1,7 @@
 """What job shards want of a machine shard, and what it knows of their jobs."""
 
 import logging
+import math
 
 from starlingdeck.coordination.blame import FEW_SICK, Blame
 from starlingdeck.coordination.machine import (
@@ -11,6 +12,7 @@
 from starlingdeck.coordination.names import split_key, task_key
 from starlingdeck.coordination.shards import job_shard
 from starlingdeck.coordination.world import World
+from starlingdeck.protocol import api
 from starlingdeck.protocol import peer_pb2 as pb
 
 log = logging.getLogger(__name__)
@@ -38,6 +40,8 @@
         self.wants: dict[int, dict[int, dict[int, Want]]] = {}
         self.kept_tasks: set[int] = set()  # not to be stopped for others
         self.acks: dict[int, tuple[int, int]] = {}
+        # Of each shard of jobs: all that was cancelled before then is in its list here.
+        self.words: dict[int, float] = {}
         # Lists whose every item has been reconciled: only these may be called applied, or an
         # item that was not looked at yet would pass for refused.
         self.settled: dict[int, tuple[int, int]] = {}
@@ -112,6 +116,9 @@
             (self.kept_tasks.add if item.kept else self.kept_tasks.discard)(key)
             self._compare_soon(index)
         self.acks[msg.from_shard] = mark
+        if msg.echo_ms:
+            before = self.words.get(msg.from_shard, 0.0)
+            self.words[msg.from_shard] = max(before, msg.echo_ms / 1000)
         self.changed = True
         return True
 
@@ -154,6 +161,28 @@
         here = table.get(machine) if table else None
         return here.get(key) if here else None
 
+    def unsaid(self, machine: Machine) -> float:
+        """For how long the jobs' holders have said nothing that bears out what is there: the
+        longest of them, infinite where one has said nothing yet.
+
+        A cancellation is told once no job holder can be unaware of it; that this list's holder has
+        it is not waited for. Its renewals may go on for as long as its own link to the state
+        service lasts, while those who have the cancellation crash, read, or are cut off from it.
+        """
+        now = self.world.now()
+        if len(self.words) == self.world.shards:
+            oldest = now - min(self.words.values())
+            if oldest <= self.world.word_s:
+                return oldest
+        live = {key for key, seen in machine.tasks.items() if seen.state != api.EXITED}
+        homes = {self.home(key) for key in live | machine.launches.keys()}
+        return max((now - self.words.get(home, -math.inf) for home in homes), default=0.0)
+
+    def borne_out(self, key: int) -> bool:
+        """Whether a task's start may still be sent on the last word of its job's holder."""
+        word = self.words.get(self.home(key), -math.inf)
+        return self.world.now() - word <= self.world.word_s
+
     def synced(self, key: int) -> bool:
         return self.home(key) in self.acks
 
--- a/starlingdeck/coordination/machine_views.py
+++ b/starlingdeck/coordination/machine_views.py
@@ -47,6 +47,7 @@
 
     def _frame(self, valid: bool) -> pb.View:
         out = pb.View(shard=self.shard, gen=self.gen, seq=self.seq, valid=valid)
+        out.stamp_ms = int(self.world.now() * 1000)
         for shard, (token, seq) in self.settled.items():
             out.acks.add(shard=shard, token=token, seq=seq)
         out.dead.extend(self.world.machines[m] for m in self.unheard())
--- a/starlingdeck/coordination/machines.py
+++ b/starlingdeck/coordination/machines.py
@@ -262,7 +262,7 @@
         out = []
         for key, launch in machine.launches.items():
             want = self.want_of(machine.index, key)
-            if want is not None and not want.stop:
+            if want is not None and not want.stop and self.borne_out(key):
                 job, number = split_key(key)
                 name = api.task_name(self.world.jobs[job], number)
                 launch.sent += 1
@@ -429,7 +429,7 @@
         if starts and machine.unheard_do < UNCALLED:
             for key, launch in machine.launches.items():
                 want = self.want_of(machine.index, key)
-                if want is None or want.stop:
+                if want is None or want.stop or not self.borne_out(key):
                     continue
                 job, number = split_key(key)
                 name = api.task_name(world.jobs[job], number)
--- a/starlingdeck/coordination/membership.py
+++ b/starlingdeck/coordination/membership.py
@@ -62,6 +62,8 @@
         self.living: dict[int, float] = {}
         self.absent: dict[int, float] = {}
         self.handed: dict[int, float] = {}
+        self.takes: dict[int, int] = {}  # shard -> the version of its last takeover's key
+        self.announced = False  # our node's key hangs on our lease
         self.quiet: dict[int, int] = {}  # of shards held: when all former holders are quiet, in ms
         self.synced = False
         self.reached = True
@@ -102,11 +104,12 @@
         try:
             if not self.lease:
                 lease = await self.state.lease(self.ttl)
-                self.lease, self.renewed = lease, sent
-                await self._announce()
+                self.lease, self.renewed, self.announced = lease, sent, False
             else:
                 await self.state.renew(self.lease)
                 self.renewed = sent
+            if not self.announced:
+                await self._announce()
         except LeaseLost:
             log.info("our state lease ended")
             self.lease = 0
@@ -125,6 +128,7 @@
     async def _announce(self) -> None:
         value = NodeValue(self.world.node, self.boot)
         await self.state.txn({}, [put(records.node_key(self.world.node), value, self.lease)], True)
+        self.announced = True
 
     async def watch_loop(self) -> None:
         while True:
@@ -166,6 +170,8 @@
         try:
             if key.startswith(records.NODES):
                 self._node_event(int(key[len(records.NODES) :]), event)
+            elif key.startswith(records.HOLDS):
+                self.takes[int(key[len(records.HOLDS) :])] = event.version
             elif key.startswith(records.SHARDS):
                 await self._shard_event(int(key[len(records.SHARDS) :]), event)
             else:
@@ -179,7 +185,10 @@
         else:
             self.living.pop(node, None)
             if node == self.world.node and self.lease:
+                # One that a former life announced late, or the first try got no answer: who isn't
+                # announced gets its shards never back.
                 log.info("our node key is gone")
+                self.announced = False
 
     async def _shard_event(self, shard: int, event: api.Event) -> None:
         if not 0 <= shard < self.world.shards:
@@ -265,8 +274,12 @@
         gen = self.world.rng.getrandbits(60)
         key = records.shard_key(shard)
         quiet_ms = self.world.wall_ms() + int(wait_s * 1000) if wait_s > 0 else 0
+        # One carried out late, after another's hold, would show a `quiet_ms` from before that.
+        last = records.hold_key(shard)
+        conditions = {key: version, last: self.takes.get(shard, 0)}
         change = put(key, ShardValue(self.world.node, gen, quiet_ms), self.lease)
-        token = await self.state.txn({key: version}, [change], True)
+        token = await self.state.txn(conditions, [change, put(last, self.world.node)], True)
+        self.takes[shard] = token
         self.quiet[shard] = quiet_ms
         holder = Holder(self.world.node, token, gen)
         self.held[shard] = holder
--- a/starlingdeck/coordination/node.py
+++ b/starlingdeck/coordination/node.py
@@ -322,12 +322,33 @@
             for key in found.keys() - set(old):
                 await self._inbox(writer, key[len(prefix) :], key, found[key])
             for first in range(0, len(old), most):
-                part = old[first : first + most]
-                await self.state.txn({k: found[k] for k in part}, [drop_key(k) for k in part])
+                part = {key: found[key] for key in old[first : first + most]}
+                if not await self._drop_notes(writer, part, False):
+                    break
         except (StateError, Conflict) as why:
             log.info("shard %d: notes not cleared: %s", shard, why)
             self.membership.synced = False
 
+    async def _drop_notes(self, writer: Writer, notes: dict[str, int], urgent: bool) -> bool:
+        """Drop notes that were acted on, as the holder; False when the shard isn't ours any more.
+
+        Who cancelled tells its user when its note is gone. A former holder that hung while its
+        shard was taken over, and then acted on the note first, would have spoken for the new one.
+        """
+        shard = records.shard_key(writer.shard.shard)
+        while True:
+            token = writer.shard.token
+            try:
+                conditions = {**notes, shard: token}
+                await self.state.txn(conditions, [drop_key(key) for key in notes], urgent)
+            except Conflict as why:
+                if shard not in why.failed:
+                    return True  # written anew, or dropped before
+                if token == writer.shard.token:
+                    return False
+                continue
+            return True
+
     async def _inbox(self, writer: Writer, name: str, key: str, version: int) -> None:
         """Another node created or cancelled one of our jobs.
 
@@ -346,8 +367,8 @@
                     job = await writer.reload(name)
                 # Who cancelled waits for this. A note written anew meanwhile is another one.
                 urgent = job is None or job.cancelled
-                with contextlib.suppress(Conflict):
-                    await self.state.txn({key: dropped}, [drop_key(key)], urgent)
+                if not await self._drop_notes(writer, {key: dropped}, urgent):
+                    break
         except (StateError, msgspec.DecodeError) as why:
             log.info("job %s: not read again: %s", name, why)
             self.membership.synced = False
--- a/starlingdeck/coordination/reports.py
+++ b/starlingdeck/coordination/reports.py
@@ -1,11 +1,14 @@
 """The workers' door: their reports, and where to send those that are not ours."""
 
 import logging
+import math
 from collections.abc import Mapping
 
+import curio
 import msgspec
 from msgspec import Struct
 
+from starlingdeck.coordination.machine import Machine
 from starlingdeck.coordination.machines import MachineShard
 from starlingdeck.coordination.membership import Holder, Membership
 from starlingdeck.coordination.peers import PeerDown, Peers
@@ -24,6 +27,8 @@
 SETTLED_S = 10.0  # (start) how long after a new hold its workers still come from the former one
 STRAY_S = 15.0  # how long a stray's reports are passed on before it may be sent there again
 PASS_ON_S = 1.5
+WORD_WAIT_S = 1.5  # (start) how long a report waits for a first word; its worker waits 4 s
+WORD_LOOK_S = 0.05
 NOBODY = -1
 
 
@@ -72,8 +77,11 @@
         if machines.passed_over(report):
             self.news = True
             return fault(503, "an old report")
-        valid = self.membership.valid()
         machine = machines.take_report(report, True)
+        if not await self._borne_out(shard, machines, machine):
+            self.news = True
+            return fault(503, "no word from a job's holder")
+        valid = self.membership.valid()
         newer = machine.mark() == (report.session, report.seq)  # nothing has overtaken it
         if machines.due or machines.changed:
             self.news = True
@@ -82,6 +90,21 @@
             commands += machines.riding(machine)
         return Response(200, msgspec.json.encode(api.ReportReply(machines.token, commands)))
 
+    async def _borne_out(self, shard: int, machines: MachineShard, machine: Machine) -> bool:
+        """Whether what runs on a machine may go on: all its jobs' holders have spoken lately.
+
+        After a takeover their first lists are some tenths of a second away: sent on, the worker
+        would lose a second and be sent back.
+        """
+        looks = int(WORD_WAIT_S / WORD_LOOK_S)
+        while (age := machines.unsaid(machine)) > self.world.word_s:
+            if age < math.inf or not looks:
+                return False
+            looks -= 1
+            self.news = True
+            await curio.sleep(WORD_LOOK_S)
+        return self.machines.get(shard) is machines and self.membership.may_renew_workers()
+
     def redirect(self, shard: int) -> str | None:
         """The node to report to; none while we can't reach the holder.
 
--- a/starlingdeck/coordination/sights.py
+++ b/starlingdeck/coordination/sights.py
@@ -16,6 +16,7 @@
     dead: set[int] = field(default_factory=set)
     machines: dict[int, pb.Machine] = field(default_factory=dict)
     at: float = 0.0  # when a view last came
+    stamp_ms: int = 0  # the latest time, by its holder's clock, at which a view was made
     judged_at: float = -1e9  # when every attempt there was last judged
     tasks: dict[int, dict[tuple[str, int, int], pb.Seen]] = field(default_factory=dict)
 
@@ -43,6 +44,7 @@
         self.acks = {a.shard: (a.token, a.seq) for a in view.acks}
         self.dead = {world.machines.put(name) for name in view.dead}
         self.at = world.now()
+        self.stamp_ms = max(self.stamp_ms, view.stamp_ms)
         return changed
 
     def task(self, machine: int, job: str, task: int, attempt: int) -> pb.Seen | None:
--- a/starlingdeck/coordination/users.py
+++ b/starlingdeck/coordination/users.py
@@ -8,7 +8,7 @@
 
 from starlingdeck.coordination import tally
 from starlingdeck.coordination.admission import Admission
-from starlingdeck.coordination.job import new_job
+from starlingdeck.coordination.job import Job, new_job
 from starlingdeck.coordination.jobs import JobShard
 from starlingdeck.coordination.membership import Membership
 from starlingdeck.coordination.peers import PeerDown, Peers
@@ -231,7 +231,7 @@
             return answer(200, api.JobStatus(name, api.CANCELLED))
         if job is not None and (job.unsure or job.stale):
             # Another node may have read and told more than we know of it.
-            return await self._look(name, True) or fault(503, "the job is changing")
+            return await self._look(name, job) or fault(503, "the job is changing")
         if job is not None:
             status = shard.status(job)
             if why := self.world.aside.why("job", name):
@@ -287,14 +287,20 @@
 
     # --- without the holder
 
-    async def _look(self, name: str, holder: bool = False) -> Response | None:
-        """From the state service. The unfinished key first: a job moves from there only."""
+    async def _look(self, name: str, held: Job | None = None) -> Response | None:
+        """From the state service. The unfinished key first: a job moves from there only.
+
+        `held`: the job as its holder knows it. That tells no cancellation that isn't in its lists:
+        it would go on giving machines' owners its word for the job.
+        """
         shard = job_shard(name, self.world.shards)
         entry = await self.state.get(records.job_key(shard, name), True)
         if entry is not None:
             record = msgspec.json.decode(entry.value, type=JobRecord)
-            if record.cancelled and not holder and not await self._taken(shard, name):
-                return fault(503, UNHEARD)
+            if record.cancelled:
+                known = held.cancelled if held else await self._taken(shard, name)
+                if not known:
+                    return fault(503, UNHEARD)
             running, done = len(record.chunk.on), len(records.unpack_done(record.chunk.done))
             state = api.CANCELLED if record.cancelled else api.RUNNING if running else api.QUEUED
             return answer(200, api.JobStatus(name, state, done, running))
--- a/starlingdeck/coordination/world.py
+++ b/starlingdeck/coordination/world.py
@@ -14,6 +14,7 @@
 
 Size = tuple[float, float, float]
 MANY = 1_000_000  # tasks: more than any job has
+WORD_SPARE_S = 2.0  # between the end of the last lease that a word allows and a cancellation's
 DRIFT = 1.002  # steady clocks of two machines differ by 0.05% each; with room to spare
 
 
@@ -72,6 +73,16 @@
         w = self.settings.settings.workers
         return max(0.0, w.cancel_s - w.lease_s * DRIFT - max(4.0, 0.15 * w.cancel_s))
 
+    @property
+    def word_s(self) -> float:
+        """How long a task's lease is renewed on the last word of its job's holder.
+
+        A cancellation that its user was told of after that word is not in it: this and a lease
+        must be over before the task is due to be gone.
+        """
+        w = self.settings.settings.workers
+        return max(0.0, w.cancel_s / DRIFT - w.lease_s * DRIFT - WORD_SPARE_S)
+
     @property
     def silence_s(self) -> float:
         """A worker's lease is surely over this long after its last answer."""
--- a/starlingdeck/coordination/writer.py
+++ b/starlingdeck/coordination/writer.py
@@ -132,6 +132,11 @@
             if self.lost or not self.shard.loaded:
                 return False
             await self._reload_stale()
+            for index in self.shard.unknown_cancels():
+                # Its user asked for it and may be told by whoever reads the record: until its
+                # fate is known, this shard can't say that nothing else is cancelled.
+                await self._write([self.shard.draft_cancel(self.shard.jobs[index])], True)
+                return True
             await self._settle()
             grant = self.gate.open(self.shard) if self.gate is not None else None
             batch, wait_s, urgent = self._batch(grant)
@@ -285,6 +290,8 @@
             changes += draft.changes
             # Another node that reads the record may tell its user before we know.
             draft.job.unsure |= bool(draft.final or draft.cancel)
+            if draft.cancel:
+                self.shard.cancelling.add(draft.job.index)
         if grant is not None:
             ours, more = grant.parts()
             conditions.update(ours)
--- a/starlingdeck/storage/records.py
+++ b/starlingdeck/storage/records.py
@@ -1,6 +1,7 @@
 """Bookkeeping: what is kept in the state service, and under which keys.
 
 c/n/NODE        a living controller, on its lease
+c/h/SHARD       its last takeover; changed by each, so that none can be carried out late
 c/s/SHARD       who holds a shard, on its holder's lease; the stamp is the token
 c/i/SHARD/JOB   a note to the holder that another node changed this job
 c/r/FROM-TO-N   messages between controllers that can't reach each other, part N
@@ -23,6 +24,7 @@
 CLUSTER = "c/"
 NODES = "c/n/"
 SHARDS = "c/s/"
+HOLDS = "c/h/"
 INBOX = "c/i/"
 RELAY = "c/r/"
 QUOTA = "c/q/"
@@ -79,6 +81,10 @@
     return f"{SHARDS}{shard}"
 
 
+def hold_key(shard: int) -> str:
+    return f"{HOLDS}{shard}"
+
+
 def job_key(shard: int, job: str) -> str:
     return f"j/{shard}/{job}"
 
--- a/tests/model.py
+++ b/tests/model.py
@@ -449,6 +449,8 @@
         if machines.passed_over(report):
             return
         machine = machines.take_report(report, True)
+        if machines.unsaid(machine) > node.world.word_s:
+            return
         newer = machine.mark() == (report.session, report.seq)
         commands = machines.commands_after(machine, node.valid()) if newer else []
         if worker is not None and not worker.deaf and self.rng.random() < 0.85:
@@ -498,7 +500,9 @@
                     # Learning who holds what may lag: sometimes an older hold is named.
                     gen = machines.gen if self.rng.random() < 0.9 else node.gens.get(to, 0)
                     node.gens[to] = gen
-                    wants = writer.shard.wants(to, gen, self.rng.random() < 0.4)
+                    seen = node.sights.get(to)
+                    echo = seen.stamp_ms if seen is not None and seen.gen == gen else 0
+                    wants = writer.shard.wants(to, gen, self.rng.random() < 0.4, echo)
                     self.mail.append((other.number, pb.Envelope(wants=wants)))
 
     def do_mail(self) -> None:
--- a/tests/test_bounds.py
+++ b/tests/test_bounds.py
@@ -70,6 +70,7 @@
         node.state = node.users.state = node.membership.state = self.client  # type: ignore
         node.membership.lease, node.membership.renewed = 1, self.clock.at
         found = self.state.keys.get(records.shard_key(0), (b"", 0))[1]
+        node.membership.takes[0] = self.state.keys.get(records.hold_key(0), (b"", 0))[1]
         await node.membership._take(0, found, 0.0)
 
         async def call(
@@ -80,6 +81,9 @@
             return Reply(status, self.body(address, report), None)
 
         node.http.call = call  # type: ignore[method-assign]
+        for _ in range(3):
+            await curio.sleep(0)  # the shard is read
+        await node.step()  # reports wait for its first list
 
     def body(self, address: str, report: api.Report) -> bytes:
         return msgspec.json.encode(msgspec.structs.replace(report, addr=address, type="big"))
@@ -109,7 +113,7 @@
                 status, told = await self.ask(
                     "POST", api.REPORT, self.body(address, worker.report())
                 )
-                assert status == 200
+                assert status == 200, told
                 worker.answer(msgspec.convert(told, api.ReportReply), session, sent)
                 worker.progress(self.state.rng)
             await node.planner.plan()
--- a/tests/test_hearing.py
+++ b/tests/test_hearing.py
@@ -72,7 +72,7 @@
 
     def exchange(self) -> list[tuple[str, int]]:
         """Lists, reconciling and views once; the starts sent."""
-        self.machines.apply_wants(self.jobs.wants(1, self.machines.gen, True))
+        self.machines.apply_wants(self.jobs.wants(1, self.machines.gen, True, self.clock.wall_ms()))
         sent = []
         for machine in self.machines.reconcile():
             orders = self.machines.orders(machine, True)
