--- a/starlingdeck/coordination/node.py
+++ b/starlingdeck/coordination/node.py
@@ -1,6 +1,5 @@
 """One controller: its loops, and the wiring between its parts."""
 
-import contextlib
 import logging
 from collections.abc import Callable
 
--- a/starlingdeck/coordination/reports.py
+++ b/starlingdeck/coordination/reports.py
@@ -101,7 +101,6 @@
             if age < math.inf or not looks:
                 return False
             looks -= 1
-            self.news = True
             await curio.sleep(WORD_LOOK_S)
         return self.machines.get(shard) is machines and self.membership.may_renew_workers()
 
