--- /dev/null
+++ b/tests/test_meetings.py
@@ -0,0 +1,241 @@
+"""Two troubles at once: the table of meetings is in docs/design/meetings.md."""
+
+import curio
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from starlingdeck.coordination.shards import job_shard, machine_shard
+from tests.meeting import CANCEL_S, FORGOTTEN_S, Deck, play
+
+
+def of_shard(shard: int, number: int = 0) -> str:
+    """A job's name that belongs to a shard of three."""
+    names = (f"j-{i:06d}" for i in range(1000))
+    return [n for n in names if job_shard(n, 3) == shard][number]
+
+
+async def spread_job(deck: Deck, shard: int, lasts_s: float) -> str:
+    """A job of a shard that runs on machines of all three."""
+    await deck.run(4.0)
+    name = of_shard(shard)
+    await curio.spawn(deck.submit, name, 12, lasts_s, daemon=True)
+    await deck.run(8.0)
+    assert {machine_shard(w, "a", deck.zones) for w, _ in deck.live(name)} == {0, 1, 2}
+    return name
+
+
+@pytest.mark.parametrize("gap_s", [0.2, 3.0, 8.0, 14.0])
+@pytest.mark.parametrize("twist", ["alone", "reading", "crashed", "back"])
+def test_a_refused_holder_then_an_outage_longer_than_a_cancellation(
+    monkeypatch: pytest.MonkeyPatch, gap_s: float, twist: str
+) -> None:
+    """The state service refuses a job's holder alone, another controller confirms a cancellation,
+    then it is out for all. The owners of machines renewed for a fixed time after their own last
+    renewal, which may be long after the confirmation, while whoever took the shard over still
+    read it, or had crashed: the list with the cancellation never came."""
+    deck = Deck(int(gap_s * 10))
+
+    async def drive() -> None:
+        name = await spread_job(deck, 0, 500.0)
+        deck.clients[0].cut = True
+        for client in deck.clients:
+            if twist in ("reading", "crashed"):
+                client.blind.add("j/0/")
+        await curio.spawn(deck.cancel, name, (1, 2), daemon=True)
+        while name not in deck.told:
+            await deck.run(0.1)
+        await deck.run(gap_s)
+        deck.outage(True)
+        if twist == "crashed":
+            deck.crash(1, 6.0)
+        await deck.run(12.0)
+        deck.clients[0].cut = twist != "back"
+        await deck.run(CANCEL_S + 8.0)
+        assert not deck.live(name)
+        deck.outage(False)
+        for client in deck.clients:
+            client.cut = False
+            client.blind.clear()
+        await deck.run(20.0)
+        assert not deck.live(name)
+
+    play(monkeypatch, deck, drive())
+
+
+def start_trouble(deck: Deck, kind: str, number: int) -> None:
+    """Each kind of the operators' page, on one controller or on some machines; twice: over."""
+    client, others = deck.clients[number], [i for i in range(3) if i != number]
+    some = [w for i, w in enumerate(deck.workers.values()) if i % 3 == number]
+    if kind == "refuse":
+        client.cut = not client.cut
+    elif kind == "outage":
+        deck.outage(not deck.state.down)
+    elif kind == "apart":
+        deck.apart ^= {frozenset((number, i)) for i in others}
+    elif kind == "cut":
+        client.cut = not client.cut
+        deck.apart ^= {frozenset((number, i)) for i in others}
+    elif kind == "crash" and number not in deck.down:
+        deck.crash(number, deck.rng.choice([0.2, 6.0]))
+    elif kind == "all crash":
+        for i in range(3):
+            if i not in deck.down:
+                deck.crash(i, 0.2 if i == number else 6.0)
+    elif kind == "deaf":
+        for worker in some:
+            worker.deaf = not worker.deaf
+    elif kind == "off":
+        deck.off ^= {(number, w.name) for w in deck.workers.values()}
+    elif kind == "late writes":
+        for each in deck.clients:
+            each.late = 0.0 if each.late else 0.2
+    elif kind == "late reports":
+        deck.copied = 0.0 if deck.copied else 0.3
+    elif kind == "held":
+        deck.held = 0.0 if deck.held else 0.3
+
+
+async def told_all(deck: Deck, names: list[str], within_s: float = 150.0) -> None:
+    """All troubles are over: users ask on until each job has come to its end, and are answered."""
+    deck.calm()
+    over = deck.clock.at
+    while any(n not in deck.told for n in names):
+        assert deck.clock.at - over < within_s, [n for n in names if n not in deck.told]
+        await deck.poll(names)
+        await deck.run(2.0)
+        for name in deck.known:
+            quiet = deck.clock.at - max(over, deck.heard[name])
+            assert quiet < FORGOTTEN_S, f"forgotten: {name}"
+
+
+# When, in seconds, which trouble begins or ends, and where.
+Script = list[tuple[float, str, int]]
+MEETINGS: dict[str, Script] = {
+    "a holder cut from state service and peers": [(0.0, "cut", 0), (25.0, "cut", 0)],
+    "the same, back before its lease ends": [(0.0, "cut", 0), (1.5, "cut", 0), (3.0, "cut", 0)],
+    "a holder ends while machines can't be reached": [
+        (0.0, "off", 0), (0.0, "off", 1), (0.0, "off", 2), (0.5, "crash", 0),
+        (7.0, "off", 0), (7.0, "off", 1), (7.0, "off", 2),
+    ],
+    "a holder ends while machines hear nothing": [
+        (0.0, "deaf", 0), (0.0, "deaf", 1), (0.5, "crash", 0), (14.0, "deaf", 0), (14.0, "deaf", 1),
+    ],
+    "answers come late, then one is refused, then all": [
+        (0.0, "late writes", 0), (6.0, "refuse", 0), (9.0, "outage", 0), (54.0, "outage", 0),
+        (55.0, "late writes", 0),
+    ],
+    "commands held up in a cancellation and a takeover": [
+        (0.0, "held", 0), (3.0, "crash", 0), (20.0, "held", 0),
+    ],
+    "commands held up in an outage": [(0.0, "held", 0), (2.0, "outage", 0), (22.0, "outage", 0)],
+    "transactions carried out late in takeovers": [
+        (0.0, "late writes", 0), (2.0, "cut", 0), (8.0, "cut", 0), (10.0, "cut", 1),
+        (16.0, "cut", 1), (20.0, "late writes", 0),
+    ],
+    "old reports after a change of holder and session": [
+        (0.0, "late reports", 0), (1.0, "crash", 0), (4.0, "off", 1), (18.0, "off", 1),
+        (24.0, "crash", 1), (30.0, "late reports", 0),
+    ],
+    "all end, one is back at once": [
+        (0.0, "late writes", 0), (0.5, "all crash", 1), (9.0, "all crash", 0),
+        (12.0, "late writes", 0),
+    ],
+    "handed over and back within seconds": [
+        (0.0, "refuse", 0), (2.8, "refuse", 0), (5.0, "refuse", 1), (7.8, "refuse", 1),
+        (8.0, "refuse", 0), (10.8, "refuse", 0),
+    ],
+}  # fmt: skip
+
+
+@pytest.mark.parametrize("seed", range(3))
+@pytest.mark.parametrize("meeting", MEETINGS)
+def test_meeting(monkeypatch: pytest.MonkeyPatch, meeting: str, seed: int) -> None:
+    """Jobs of two and three tasks whose ends lie far apart, a third of them cancelled meanwhile
+    through the other controllers; every controller is asked about all of them all the time."""
+    deck = Deck(seed)
+    names = [of_shard(shard, n) for n in range(3) for shard in range(3)]
+
+    async def drive() -> None:
+        await deck.run(4.0)
+        for i, name in enumerate(names):
+            deck.lasts[f"{name}/0"] = 4.0 + i
+            await curio.spawn(deck.submit, name, 2 + i % 2, 45.0, daemon=True)
+        await deck.run(5.0)
+        script, began = sorted(MEETINGS[meeting]), deck.clock.at
+        for step in range(int(script[-1][0]) + 2):
+            for at, kind, number in [s for s in script if step <= s[0] < step + 1]:
+                await deck.run(max(0.0, began + at - deck.clock.at))
+                start_trouble(deck, kind, number)
+            if step % 3 == 1 and step < 9:
+                name = names[step // 3 * 3]
+                await curio.spawn(deck.cancel, name, (1, 2, 0), daemon=True)
+            await deck.poll(names)
+            await deck.run(max(0.0, began + step + 1 - deck.clock.at))
+        await told_all(deck, names)
+
+    play(monkeypatch, deck, drive())
+
+
+@pytest.mark.parametrize("off_s", [2.0, 16.0])
+def test_long_tasks_outlive_their_holder_when_they_cannot_be_reached(
+    monkeypatch: pytest.MonkeyPatch, off_s: float
+) -> None:
+    """Back within their lease they go on under the next holder, and nothing is run again; later,
+    their lease is over, and all of it is."""
+    deck = Deck(5)
+
+    async def drive() -> None:
+        name = await spread_job(deck, 0, 60.0)
+        for number in range(3):
+            start_trouble(deck, "off", number)
+        await deck.run(0.3)
+        deck.crash(0, 30.0)
+        await deck.run(off_s)
+        await told_all(deck, [name])
+        again = [task for task, times in deck.begun.items() if times > 1]
+        assert bool(again) == (off_s > 10.0)
+
+    play(monkeypatch, deck, drive())
+
+
+KINDS = (
+    "refuse", "outage", "apart", "cut", "crash", "all crash", "deaf", "off", "late writes",
+    "late reports", "held",
+)  # fmt: skip
+STEPS = st.tuples(
+    st.sampled_from(KINDS), st.integers(0, 2), st.sampled_from([0.2, 1.0, 3.0, 8.0, 20.0])
+)
+
+
+async def live_through(deck: Deck, steps: list[tuple[str, int, float]]) -> None:
+    """Jobs of two or three tasks, short and long, some cancelled, under troubles that meet; then
+    every one is known, and ends."""
+    names = [of_shard(shard, n) for n in range(3) for shard in range(3)]
+    await deck.run(4.0)
+    for i, name in enumerate(names):
+        tasks, lasts_s = 2 + i % 2, (5.0, 25.0, 60.0)[i // 3]
+        await curio.spawn(deck.submit, name, tasks, lasts_s, daemon=True)
+    await deck.run(3.0)
+    for i, (kind, number, seconds) in enumerate(steps):
+        start_trouble(deck, kind, number)
+        if i % 2:
+            job = names[(i * 4 + number) % len(names)]
+            await curio.spawn(deck.cancel, job, (number, 0, 1, 2), daemon=True)
+        for _ in range(max(1, int(seconds / 2))):
+            await deck.poll(names)
+            await deck.run(min(seconds, 2.0))
+    await told_all(deck, names, 240.0)
+
+
+@settings(derandomize=True, max_examples=25, deadline=None)
+@given(seed=st.integers(0, 1 << 16), steps=st.lists(STEPS, min_size=3, max_size=8))
+def check_meetings(
+    monkeypatch: pytest.MonkeyPatch, seed: int, steps: list[tuple[str, int, float]]
+) -> None:
+    deck = Deck(seed)
+    play(monkeypatch, deck, live_through(deck, steps))
+
+
+def test_no_rule_breaks_where_troubles_meet(monkeypatch: pytest.MonkeyPatch) -> None:
+    check_meetings(monkeypatch)
