--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -1,11 +1,18 @@
 """Two troubles at once: the table of meetings is in docs/design/meetings.md."""
 
 import curio
+import msgspec
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from starlingdeck.coordination.machine import Launch, Want
+from starlingdeck.coordination.machines import UNCALLED
+from starlingdeck.coordination.names import task_key
 from starlingdeck.coordination.shards import job_shard, machine_shard
+from starlingdeck.protocol import api
+from starlingdeck.storage import records
+from starlingdeck.storage.state import StateUnknown, put
 from tests.meeting import CANCEL_S, FORGOTTEN_S, Deck, play
 
 
@@ -239,3 +246,157 @@
 
 def test_no_rule_breaks_where_troubles_meet(monkeypatch: pytest.MonkeyPatch) -> None:
     check_meetings(monkeypatch)
+
+
+# --- each link of the chain
+
+
+def test_a_note_is_not_dropped_by_a_former_holder(monkeypatch: pytest.MonkeyPatch) -> None:
+    """A former holder that hung while its shard was taken over acted on a note first and dropped
+    it: the cancellation was confirmed while the present holder knew nothing of it."""
+    deck = Deck(2)
+
+    async def drive() -> bool:
+        name = await spread_job(deck, 0, 100.0)
+        former = deck.nodes[0]
+        writer = former.writers[0]
+        deck.clients[0].cut = True
+        await deck.run(4.0)
+        assert 0 in deck.nodes[1].writers
+        deck.clients[0].cut = False
+        key = records.inbox_key(0, name)
+        assert not deck.state.change([put(key, 1)], {})
+        former.notes.clear()
+        await former._inbox(writer, name, key, deck.state.epoch)
+        return key in deck.state.keys
+
+    assert play(monkeypatch, deck, drive())
+
+
+def test_no_word_is_given_while_a_cancellation_may_be_recorded(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The holder's own cancellation got no answer, and was carried out: another controller read
+    and told it while the holder's lists went on without it. It is settled before the next word."""
+    deck = Deck(3)
+
+    async def drive() -> None:
+        name = await spread_job(deck, 0, 100.0)
+        node, client = deck.nodes[0], deck.clients[0]
+        jobs = node.writers[0].shard
+        deck.asked.add(name)
+        client.late = 1.0
+        path = f"{api.JOBS}/{name}/{api.CANCEL}"
+        assert await deck.ask(0, "POST", path) == 503
+        assert node.exchange._echo(jobs, 1, node.membership.holders[1].gen) == 0
+        before = deck.nodes[1].machines[1].words[0]
+        await deck.run(1.0)
+        # Lists go on, and say nothing of what may be cancelled.
+        assert deck.nodes[1].machines[1].words[0] == before
+        client.late = 0.0
+        await deck.run(3.0)
+        assert deck.nodes[1].machines[1].words[0] > before + 1.0
+        assert jobs.finals[name] == api.CANCELLED and not deck.live(name)
+
+    play(monkeypatch, deck, drive())
+
+
+def test_a_holder_tells_no_cancellation_that_its_lists_lack(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Unsure of a record it answered from the state service, where another controller had written a
+    cancellation: its user was told, and its lists went on without."""
+    deck = Deck(4)
+
+    async def drive() -> None:
+        name = await spread_job(deck, 0, 100.0)
+        (job,) = deck.nodes[0].writers[0].shard.jobs.values()
+        main = records.job_key(0, name)
+        record = msgspec.json.decode(deck.state.keys[main][0], type=records.JobRecord)
+        record.cancelled = True
+        job.unsure = True
+        assert not deck.state.change([put(main, record)], {})
+        deck.asked.add(name)
+        assert await deck.ask(0, "GET", f"{api.JOBS}/{name}") == 503
+        await deck.nodes[0].writers[0].reload(name)
+        assert await deck.ask(0, "GET", f"{api.JOBS}/{name}") == 200 and name in deck.told
+
+    play(monkeypatch, deck, drive())
+
+
+def test_no_start_is_sent_on_an_old_word(monkeypatch: pytest.MonkeyPatch) -> None:
+    """A machine that a list named came to its owner long after: its start went out on a word
+    from before a cancellation, and its lease had just been renewed with nothing on it."""
+    deck = Deck(6)
+
+    async def drive() -> list[list[str]]:
+        await deck.run(3.0)
+        node = deck.nodes[0]
+        machines = node.machines[0]
+        index = node.world.machines.put(next(iter(deck.workers)))
+        machine = machines.machines[index]
+        key = task_key(node.world.jobs.put(of_shard(1)), 0)
+        machine.launches[key] = Launch(1, deck.clock.at)
+        machines.wants.setdefault(1, {})[index] = {key: Want(1, machine.session, False, 0.0)}
+        sent = []
+        for age_s in (1.0, node.world.word_s + 1.0):
+            machines.words[1] = deck.clock.at - age_s
+            machine.unheard_do = 0
+            direct = [c.op for c in machines.orders(machine, True).commands]
+            machine.unheard_do = UNCALLED
+            sent += [direct, [c.op for c in machines.riding(machine)]]
+        return sent
+
+    assert play(monkeypatch, deck, drive()) == [[api.START], [api.START], [], []]
+
+
+def test_a_takeover_is_not_carried_out_after_another_hold(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Late, it showed a time until all former holders are quiet that was reckoned before the hold
+    in between: a lease that the latter had renewed would have been called over."""
+    deck = Deck(7)
+
+    async def drive() -> list[str]:
+        await deck.run(3.0)
+        sent: list[tuple[dict[str, int], list[api.Change]]] = []
+        plain = deck.clients[2].txn
+
+        async def keep(conditions, changes, urgent=False):  # type: ignore[no-untyped-def]
+            if any(c.put == records.shard_key(0) for c in changes):
+                sent.append((dict(conditions), list(changes)))
+                raise StateUnknown("no answer")
+            return await plain(conditions, changes, urgent)
+
+        deck.clients[2].txn = keep  # type: ignore[method-assign]
+        # Both others are away for long enough that the third tries to take the shard.
+        deck.clients[0].cut = deck.clients[1].cut = True
+        await deck.run(4.0)
+        deck.clients[1].cut = False
+        deck.clients[2].cut = True
+        await deck.run(4.0)
+        assert 0 in deck.nodes[1].writers  # the hold in between, then given up
+        deck.state.change([api.Change(delete=records.shard_key(0))], {})
+        conditions, changes = sent[0]
+        return deck.state.change(changes, conditions)
+
+    assert play(monkeypatch, deck, drive())
+
+
+def test_a_controller_whose_key_is_gone_announces_itself_again(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Announced with no answer, or by a former life's late transaction under a lease that ended
+    after: it was never called living again, and its shard was not handed back to it."""
+    deck = Deck(8)
+
+    async def drive() -> list[bool]:
+        found = []
+        deck.clients[0].mute = True
+        await deck.run(1.0)
+        deck.clients[0].mute = False
+        await deck.run(2.0)
+        found.append(records.node_key(0) in deck.state.keys)
+        deck.state.change([api.Change(delete=records.node_key(0))], {})
+        await deck.run(1.0)
+        return [*found, records.node_key(0) in deck.state.keys]
+
+    assert play(monkeypatch, deck, drive()) == [True, True]
