--- a/starlingdeck/coordination/figures.py
+++ b/starlingdeck/coordination/figures.py
@@ -15,7 +15,8 @@
         yield (
             f"machines of shard {shard}: {len(machines.machines)} known, {len(deaf)} hear "
             f"nothing, longest {max(deaf, default=0.0):.0f} s, "
-            f"{machines.copies} copies passed over"
+            f"{machines.copies} copies passed over, {machines.unsaid_reports} reports not answered "
+            "for want of a word"
         )
 
 
--- a/starlingdeck/coordination/machine_lists.py
+++ b/starlingdeck/coordination/machine_lists.py
@@ -57,6 +57,7 @@
         self.shard_of: dict[int, int] = {}
         self.gone: dict[int, float] = {}  # machine -> since when; its copies come for a while
         self.copies = 0
+        self.unsaid_reports = 0  # refused because a job's holder has said nothing lately
         self.raise_at = 0.0
         self.blame = Blame(world.tuning.sick_errors)
         self.seq = 0
--- a/starlingdeck/coordination/reports.py
+++ b/starlingdeck/coordination/reports.py
@@ -99,6 +99,7 @@
         looks = int(WORD_WAIT_S / WORD_LOOK_S)
         while (age := machines.unsaid(machine)) > self.world.word_s:
             if age < math.inf or not looks:
+                machines.unsaid_reports += 1
                 return False
             looks -= 1
             await curio.sleep(WORD_LOOK_S)
--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -400,3 +400,39 @@
         return [*found, records.node_key(0) in deck.state.keys]
 
     assert play(monkeypatch, deck, drive()) == [True, True]
+
+
+def test_only_a_sure_holder_gives_its_word(monkeypatch: pytest.MonkeyPatch) -> None:
+    """A step that was sure of its lease at its beginning waited for the state service, or stood
+    still, and said its word when another might hold the shard."""
+    deck = Deck(9)
+
+    async def drive() -> tuple[bool, bool]:
+        await deck.run(3.0)
+        node = deck.nodes[0]
+        found = []
+        for waited_s in (1.0, 2.0):
+            deck.clock.at += waited_s
+            before = dict(node.machines[0].words)
+            deck.mail.clear()
+            await node.exchange.send_wants(deck.clock.at)
+            said = any(e.HasField("wants") for _, _, e in deck.mail)
+            assert said == (node.machines[0].words != before)
+            found.append(said)
+        return found[0], found[1]
+
+    assert play(monkeypatch, deck, drive()) == (True, False)
+
+
+def test_a_word_echoes_only_the_present_hold(monkeypatch: pytest.MonkeyPatch) -> None:
+    """A time by the clock of a former holder of the machines, echoed to the next, could be later
+    than its own: its word would never have grown old."""
+    deck = Deck(10)
+
+    async def drive() -> list[bool]:
+        await deck.run(3.0)
+        node = deck.nodes[0]
+        jobs, gen = node.writers[0].shard, node.membership.holders[1].gen
+        return [node.exchange._echo(jobs, 1, g) > 0 for g in (gen, gen + 1)]
+
+    assert play(monkeypatch, deck, drive()) == [True, False]
