--- a/starlingdeck/coordination/exchange.py
+++ b/starlingdeck/coordination/exchange.py
@@ -6,6 +6,7 @@
 """
 
 import logging
+import math
 from collections.abc import Awaitable, Callable, Mapping
 
 import msgspec
@@ -154,12 +155,12 @@
                     await self.peers.post(holder.node, pb.Envelope(wants=wants))
 
     def _echo(self, jobs: JobShard, shard: int, gen: int) -> int:
-        """The latest time, by a machine shard's holder, that has come here from it; 0 while a
-        cancellation may be recorded that isn't in our list."""
-        if jobs.unknown_cancels():
-            return 0
+        """The latest time, by a machine shard's holder, that has come here from it; no later than
+        when a cancellation was sent that may be recorded and isn't in our list."""
         sight = self.sights.get(shard)
-        return sight.stamp_ms if sight is not None and sight.gen == gen else 0
+        if sight is None or sight.gen != gen:
+            return 0
+        return sight.echo_ms(min(jobs.unknown_cancels().values(), default=math.inf))
 
     def take_wants(self, wants: pb.Wants) -> None:
         machines = self.machines.get(wants.to_shard)
@@ -213,7 +214,8 @@
                     )
                     for i, piece in enumerate(pieces[first : first + each])
                 ]
-                await self.state.txn({}, changes)
+                # It carries the word that workers' leases hang on.
+                await self.state.txn({}, changes, True)
         except (StateError, Conflict, LeaseLost) as why:
             log.info("no detour to %d: %r", node, why)
 
--- a/starlingdeck/coordination/jobs.py
+++ b/starlingdeck/coordination/jobs.py
@@ -51,7 +51,7 @@
         self.shed: set[int] = set()  # keys of the tasks that their machine gives up
         self.use: dict[int, int] = {}  # count -> units that the recorded attempts hold
         self.released = False  # since the last plan: units of counts came free
-        self.cancelling: set[int] = set()  # cancellations sent whose fate may not be known
+        self.cancelling: dict[int, float] = {}  # jobs: when a cancellation of unknown fate was sent
         self.replicas = False  # since the last plan: replicas came, or lost their place
 
     # --- the jobs, and where their tasks are
@@ -223,11 +223,12 @@
 
     # --- what is wanted
 
-    def unknown_cancels(self) -> set[int]:
-        """Jobs that may be recorded, and so called, cancelled without this holder knowing."""
+    def unknown_cancels(self) -> dict[int, float]:
+        """Jobs that may be recorded, and so called, cancelled without this holder knowing, and
+        since when."""
         self.cancelling = {
-            i
-            for i in self.cancelling
+            i: at
+            for i, at in self.cancelling.items()
             if (job := self.jobs.get(i)) is not None and job.unsure and not job.cancelled
         }
         return self.cancelling
--- a/starlingdeck/coordination/reports.py
+++ b/starlingdeck/coordination/reports.py
@@ -28,7 +28,7 @@
 STRAY_S = 15.0  # how long a stray's reports are passed on before it may be sent there again
 PASS_ON_S = 1.5
 WORD_WAIT_S = 1.5  # (start) how long a report waits for a first word; its worker waits 4 s
-WORD_LOOK_S = 0.05
+WORD_LOOK_S = 0.1
 NOBODY = -1
 
 
--- a/starlingdeck/coordination/sights.py
+++ b/starlingdeck/coordination/sights.py
@@ -5,6 +5,9 @@
 from starlingdeck.coordination.world import World
 from starlingdeck.protocol import peer_pb2 as pb
 
+STAMP_EVERY_S = 0.5
+STAMPS = 60
+
 
 class Sight(Struct):
     world: World
@@ -16,7 +19,8 @@
     dead: set[int] = field(default_factory=set)
     machines: dict[int, pb.Machine] = field(default_factory=dict)
     at: float = 0.0  # when a view last came
-    stamp_ms: int = 0  # the latest time, by its holder's clock, at which a view was made
+    # When views came, and when they were made by their holder's clock; the newest last.
+    stamps: list[tuple[float, int]] = field(default_factory=list)
     judged_at: float = -1e9  # when every attempt there was last judged
     tasks: dict[int, dict[tuple[str, int, int], pb.Seen]] = field(default_factory=dict)
 
@@ -44,9 +48,17 @@
         self.acks = {a.shard: (a.token, a.seq) for a in view.acks}
         self.dead = {world.machines.put(name) for name in view.dead}
         self.at = world.now()
-        self.stamp_ms = max(self.stamp_ms, view.stamp_ms)
+        if view.stamp_ms:
+            if len(self.stamps) > 1 and self.at - self.stamps[-2][0] < STAMP_EVERY_S:
+                self.stamps[-1] = (self.at, view.stamp_ms)
+            else:
+                self.stamps = [*self.stamps[-STAMPS:], (self.at, view.stamp_ms)]
         return changed
 
+    def echo_ms(self, before: float) -> int:
+        """The latest time by its holder's clock that had come here by then; 0 if none had."""
+        return next((stamp for at, stamp in reversed(self.stamps) if at <= before), 0)
+
     def task(self, machine: int, job: str, task: int, attempt: int) -> pb.Seen | None:
         found = self.tasks.get(machine)
         if found is None:
--- a/starlingdeck/coordination/writer.py
+++ b/starlingdeck/coordination/writer.py
@@ -134,7 +134,7 @@
             await self._reload_stale()
             for index in self.shard.unknown_cancels():
                 # Its user asked for it and may be told by whoever reads the record: until its
-                # fate is known, this shard can't say that nothing else is cancelled.
+                # fate is known, this shard's word ends where it was sent.
                 await self._write([self.shard.draft_cancel(self.shard.jobs[index])], True)
                 return True
             await self._settle()
@@ -291,7 +291,7 @@
             # Another node that reads the record may tell its user before we know.
             draft.job.unsure |= bool(draft.final or draft.cancel)
             if draft.cancel:
-                self.shard.cancelling.add(draft.job.index)
+                self.shard.cancelling.setdefault(draft.job.index, self.world.now())
         if grant is not None:
             ours, more = grant.parts()
             conditions.update(ours)
