--- a/tests/flood.py
+++ b/tests/flood.py
@@ -28,7 +28,7 @@
 from starlingdeck.storage import records
 from starlingdeck.storage.state import put
 from tests.build import Clock, make_world, spec
-from tests.model import PlainClient, PlainState
+from tests.model import PlainClient, PlainState, on_the_wire
 
 TICK_S = 0.25
 REPORT_S = 1.0
@@ -153,10 +153,8 @@
             return await self.nodes[to].on_message(envelope) or pb.Envelope()
 
         async def post(to: int, envelope: pb.Envelope) -> None:
-            copy = pb.Envelope.FromString(envelope.SerializeToString())
-            copy.sender = number
             if self.linked(number, to):
-                self.mail.append((self.clock.at, to, copy))
+                self.mail.append((self.clock.at, to, on_the_wire(envelope, number)))
 
         async def do(
             machines: MachineShard, machine: Machine | None, _: str, orders: api.Commands
--- a/tests/meeting.py
+++ b/tests/meeting.py
@@ -22,7 +22,7 @@
 from starlingdeck.transport.client import NoAnswer, NotSent, Reply
 from starlingdeck.transport.server import Request, Response
 from tests.build import Clock, job_body, make_world
-from tests.model import Broken, PlainTask, PlainWorker
+from tests.model import Broken, PlainTask, PlainWorker, on_the_wire
 from tests.test_membership import LeasedClient, LeasedState
 
 TICK_S = 0.1
@@ -154,10 +154,8 @@
             return await self.nodes[to].on_message(envelope) or pb.Envelope()
 
         async def post(to: int, envelope: pb.Envelope) -> None:
-            copy = pb.Envelope.FromString(envelope.SerializeToString())
-            copy.sender = number
             if self.linked(number, to):
-                self.mail.append((number, to, copy))
+                self.mail.append((number, to, on_the_wire(envelope, number)))
 
         async def http(
             address: str, method: str, path: str, body: bytes | None, timeout_s: float
--- a/tests/model.py
+++ b/tests/model.py
@@ -42,6 +42,13 @@
     raise AssertionError("it waited")
 
 
+def on_the_wire(envelope: pb.Envelope, sender: int) -> pb.Envelope:
+    """A message as it leaves: what its sender changes later doesn't change it."""
+    copy = pb.Envelope.FromString(envelope.SerializeToString())
+    copy.sender = sender
+    return copy
+
+
 class PlainState:
     """The state service: keys, stamps, and transactions whose answers may get lost."""
 
