A detour's text keeps its number, and an older one gives way to a newer

Cause: the number was read anew for each transaction, so a text that waited for its writes went on under a newer one's number; its receiver joined pieces of both ("garbled detour", and the loop that watches the cluster's keys stumbled). Change: the number is the text's own; what is left of an older text isn't written any more. tests/test_exchange.py::test_a_detours_texts_do_not_mix: red before, green after.

--- a/starlingdeck/coordination/exchange.py
+++ b/starlingdeck/coordination/exchange.py
@@ -203,13 +203,18 @@
         size = min(int(limits.value_kb * 1000) - 200, TXN_BYTES)
         pieces = [text[i : i + size] for i in range(0, len(text), size)]
         self.detour_number += 1
+        text_number = self.detour_number
         each = max(1, min(limits.txn_ops, TXN_BYTES // size))
         try:
             for first in range(0, len(pieces), each):
+                if text_number != self.detour_number:
+                    # A newer text is being written over it. With the newest number on what was
+                    # left of this one, the receiver put pieces of both together.
+                    return
                 changes = [
                     put_key(
                         records.relay_key(self.world.node, node, first + i),
-                        records.RelayPart(self.detour_number, len(pieces), piece),
+                        records.RelayPart(text_number, len(pieces), piece),
                         self.membership.lease,
                     )
                     for i, piece in enumerate(pieces[first : first + each])
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -146,6 +146,49 @@
     assert [e.forward.body for e in got] == [noise]
 
 
+def test_a_detours_texts_do_not_mix() -> None:
+    """One that waited to be written went on under the number of a newer one: its receiver put
+    pieces of both together."""
+    ours, theirs = Node(make_world(Clock())), Node(make_world(Clock(), node=1))
+    noise = [random.Random(i).randbytes(90_000) for i in range(2)]
+    texts = [pack([pb.Envelope(sender=0, forward=pb.Forward(body=n))]) for n in noise]
+    arrived: list[list[api.Change]] = []
+    waits = [0.02, 0.0, 0.0, 0.0, 0.0, 0.0]  # the first one's first pieces, then the second's
+
+    class Slow(PlainClient):
+        async def txn(
+            self, conditions: dict[str, int], changes: list[api.Change], urgent: bool = False
+        ) -> int:
+            await curio.sleep(waits.pop(0))
+            arrived.append(changes)
+            return 1
+
+    got: list[bytes] = []
+
+    async def take(envelope: pb.Envelope) -> None:
+        got.append(envelope.forward.body)
+
+    async def write() -> None:
+        ours.exchange.state = Slow(PlainState(random.Random(1)), 0.0)  # type: ignore[assignment]
+        first = await curio.spawn(ours.exchange.put_detour, 1, texts[0])
+        await curio.sleep(0)
+        second = await curio.spawn(ours.exchange.put_detour, 1, texts[1])
+        await first.join()
+        await second.join()
+
+    curio.run(write)
+    assert len({c.value.text for changes in arrived for c in changes}) == 2
+    for changes in arrived:
+        for change in changes:
+            value = msgspec.Raw(msgspec.json.encode(change.value))
+            at_once(theirs.exchange.take_detour(change.put or "", value, take))
+    assert set(got) <= set(noise)
+    for change in [c for changes in arrived for c in changes if c.value.text == 2]:
+        value = msgspec.Raw(msgspec.json.encode(change.value))
+        at_once(theirs.exchange.take_detour(change.put or "", value, take))
+    assert noise[1] in got
+
+
 def test_a_peer_that_takes_nothing_loses_its_link() -> None:
     """Sending waited for it, and with it everything else this controller does."""
 
