--- a/tests/meeting.py
+++ b/tests/meeting.py
@@ -163,6 +163,7 @@
         self.at_end = 0.0  # share of the jobs called off as they end
         self.calls: list[tuple[str, int]] = []  # of users: a job called off, at a controller
         self.odd_asked = False  # users ask for what can't be, all the time
+        self.lag_s = 0.0  # how long reports are under way at the most
         self.looks = 0.0  # share of the answers after which users ask everywhere at once
         self.faults: list[Exception] = []  # of what runs beside the story
         self.busy: set[tuple[Any, ...]] = set()  # controllers' loops that have not come round
@@ -282,7 +283,7 @@
         self.off.clear()
         self.shut.clear()
         self.copied = self.held = self.keeps = self.looks = self.at_end = 0.0
-        self.odd_asked = False
+        self.odd_asked, self.lag_s = False, 0.0
         self.calm_at = max([self.clock.at, *self.down.values()])
 
     async def beside(self, do: Callable[..., Awaitable[Any]], *args: Any) -> None:
@@ -424,6 +425,8 @@
         reply: Response | None = None
         if not cut:
             node = self.nodes[number]
+            if self.lag_s:
+                await curio.sleep(self.lag_s * self.rng.uniform(0.8, 1.0))
             reply = await node.reports.take(body)
             if number in self.down or self.nodes[number] is not node:
                 reply = None
--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -136,6 +136,8 @@
                 deck.crash(i, 14.0 + i)
     elif kind == "looks":
         deck.looks = 0.0 if deck.looks else 0.5
+    elif kind == "lag":
+        deck.lag_s = 0.0 if deck.lag_s else 1.0
     elif kind == "odd":
         deck.odd_asked = not deck.odd_asked
     elif kind == "cancel at end":
@@ -304,9 +306,9 @@
         (12.0, "cancel", 2), (26.0, "mute", 1),
     ],
     "machines reach no controller, commands come as their leases end": [
-        (0.0, "mute", 0), (0.2, "mute", 1),
-        *((8.6 + 0.3 * i, "cancel", i % 3) for i in range(10)), (26.0, "mute", 0),
-        (27.0, "mute", 1),
+        (0.0, "lag", 0), (3.0, "mute", 0), (3.2, "mute", 1),
+        *((11.0 + 0.2 * i, "cancel", i % 3) for i in range(12)), (29.0, "mute", 0),
+        (30.0, "mute", 1),
     ],
     "cancelled, then the machine hangs and goes on": [
         (0.0, "held", 0), (0.0, "cancel and hang", 0), (0.2, "cancel and hang", 1),
@@ -389,6 +391,36 @@
     play(monkeypatch, deck, drive())
 
 
+def test_a_mute_machine_is_not_called_over_in_the_session_that_a_call_has_just_shown(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Its reports reach nobody any more, and were slow before. Just as its lease ends, a stop by a
+    call is answered from its next session: that one's lease was counted from the last report."""
+    deck = Deck(12)
+
+    async def drive() -> int:
+        deck.lag_s = 1.0
+        await deck.run(4.0)
+        first, second = of_shard(0), of_shard(1)
+        await deck.beside(deck.submit, first, 12, 500.0)
+        await deck.run(6.0)
+        await deck.beside(deck.submit, second, 12, 500.0)
+        await deck.run(2.0)
+        mute = [w for i, w in enumerate(deck.workers.values()) if i % 2]
+        for worker in mute:
+            worker.mute = True
+        while not any(worker.session > 1 for worker in mute):
+            await deck.run(0.1)
+        await deck.beside(deck.cancel, first, (0,))
+        await deck.run(1.0)
+        for shard in range(3):  # room for what is freed
+            deck.boot(shard)
+        await deck.run(30.0)
+        return len(deck.live(second))
+
+    assert play(monkeypatch, deck, drive()) == 12
+
+
 KINDS = (
     "refuse", "outage", "apart", "cut", "crash", "all crash", "deaf", "off", "late writes",
     "late reports", "held", "lost", "slow", "reading", "next reports", "mute", "hang", "zone",
