The rests of a team's limit come together where the smallest task waits

Cause: a shard that lacked quota for what waits in it never passed any on, also not the rest of its share in which none of its waiting tasks fitted. Three such rests, and the team's jobs waited for as long as its long tasks ran though it was under its limit by one task or more (a team's largest tasks with rests of nearly a task each by far more). Change: needs tell the smallest task that waits (optional fields between controllers); a shard whose rest fits none of its own gives it to where a smaller one waits, of shards alike to the lowest: the order doesn't change by gifts, so none comes back. Quota's own proof is untouched: still given by compare-and-set, counted as gone from before the write.

--- a/starlingdeck/coordination/gifts.py
+++ b/starlingdeck/coordination/gifts.py
@@ -36,6 +36,7 @@
         self.wake = wake
         self.quota = Quota(world)
         self.needs: dict[tuple[int, int], Pair] = {}
+        self.sizes: dict[tuple[int, int], set[Pair]] = {}  # of the tasks that wait there
         # What a hold's attempts of a team use: walked over once a plan, then added to as tasks are
         # picked. What comes free meanwhile is left for the next plan. By hold, so that a shard
         # taken over again in the middle of a plan is walked over anew.
@@ -85,35 +86,60 @@
             self.using[hold] = (cpus + tasks * job.spec.cpus, gpus + tasks * job.spec.gpus)
 
     def idle(self) -> None:
-        self.needs = {}
+        self.needs, self.sizes = {}, {}
+
+    def least(self, team: int, shard: int) -> Pair:
+        """The smallest task that waits in a shard of ours for its team's quota; none: zeros."""
+        return min(self.sizes.get((team, shard), ()), default=(0.0, 0.0))
 
     async def note(self, jobs: Sequence[Job]) -> None:
         """Which shards of ours lack quota for what waits; the others may pass some on."""
         wants: dict[tuple[int, int], Pair] = {}
+        sizes: dict[tuple[int, int], set[Pair]] = {}
         for job in jobs:
             if not self.limited(job.team):
                 continue
             old = wants.get((job.team, job.shard), (0.0, 0.0))
             n = len(job.pending(1000))
+            if n:
+                sizes.setdefault((job.team, job.shard), set()).add((job.spec.cpus, job.spec.gpus))
             wants[(job.team, job.shard)] = (
                 old[0] + n * job.spec.cpus,
                 old[1] + n * job.spec.gpus,
             )
-        self.needs, self.using = {}, {}
+        self.needs, self.using, self.sizes = {}, {}, sizes
         for (team, shard), want in wants.items():
             used, share = self.used(shard, team), self.quota.share(team, shard)
             short = tuple(w - (s - u) for w, s, u in zip(want, share, used, strict=True))
             if max(short) > 1e-6:
                 need = (max(0.0, short[0]), max(0.0, short[1]))
                 self.needs[(team, shard)] = need
-                await self.give(team, shard, need)
-
-    async def give(self, team: int, taker: int, want: Pair) -> None:
-        """Pass on quota that shards of ours don't use, keeping what their own jobs wait for."""
+                await self.give(team, shard, need, self.least(team, shard))
+
+    def _scrap(self, team: int, giver: int, taker: int, task: Pair) -> bool:
+        """Whether a shard that lacks quota itself is to pass on what is left of its own.
+
+        Each shard kept a rest in which none of its tasks fitted, and all waited while their team
+        was under its limit by more than one. The rests go to where the smallest task waits (of
+        shards alike, the lowest): that starts if any can, and as no gift changes the order, none
+        comes back.
+        """
+        sizes = self.sizes.get((team, giver))
+        if not sizes or not any(task) or (task, taker) >= (min(sizes), giver):
+            return False
+        used, share = self.used(giver, team), self.quota.share(team, giver)
+        left = tuple(s - u + 1e-9 for s, u in zip(share, used, strict=True))
+        return not any(size[0] <= left[0] and size[1] <= left[1] for size in sizes)
+
+    async def give(self, team: int, taker: int, want: Pair, task: Pair) -> None:
+        """Pass on quota that shards of ours don't use, keeping what their own jobs wait for and
+        can use. `task`: the smallest that waits for it at the taker."""
         if not self.membership.valid() or team >= len(self.world.settings.settings.teams):
             return
         for giver, writer in list(self.writers.items()):
-            if not writer.shard.loaded or (team, giver) in self.needs:
+            if not writer.shard.loaded:
+                continue
+            if (team, giver) in self.needs and not self._scrap(team, giver, taker, task):
                 continue
             used = self.used(giver, team)
             after = self.quota.gift(team, giver, taker, want, used)
--- a/starlingdeck/coordination/node.py
+++ b/starlingdeck/coordination/node.py
@@ -530,7 +530,15 @@
         out.demands.extend(self.planner.demands.get(self.world.node, (0.0, []))[1])
         out.deleted.extend(self.deleted)
         for (team, shard), want in self.gifts.needs.items():
-            out.needs.add(team=team, shard=shard, cpus=want[0], gpus=want[1])
+            task = self.gifts.least(team, shard)
+            out.needs.add(
+                team=team,
+                shard=shard,
+                cpus=want[0],
+                gpus=want[1],
+                task_cpus=task[0],
+                task_gpus=task[1],
+            )
         for job in self.planner.own_team_jobs():
             out.jobs.add(
                 team=job.team,
@@ -555,7 +563,8 @@
             TeamJob(j.team, j.at_ms, j.id, j.cpus, j.gpus, j.rank) for j in hello.jobs
         ]
         for need in hello.needs:
-            await self.gifts.give(need.team, need.shard, (need.cpus, need.gpus))
+            task = (need.task_cpus, need.task_gpus)
+            await self.gifts.give(need.team, need.shard, (need.cpus, need.gpus), task)
         if self.admission.durable is not None:
             self.admission.durable.greeted(sender, hello)
         if self.overload is not None:
--- a/tests/meeting.py
+++ b/tests/meeting.py
@@ -502,7 +502,7 @@
 
     async def submit(self, name: str, tasks: int, lasts_s: float, **other: Any) -> None:
         self.lasts[name] = lasts_s
-        self.jobs[name] = job_body(name, chores=tasks, cores=2.0, image_gb=0.1, **other)
+        self.jobs[name] = job_body(name, chores=tasks, image_gb=0.1, **other)
         body = msgspec.json.encode(self.jobs[name])
         while name not in self.known:
             await self.ask(self.rng.randrange(len(self.nodes)), "POST", api.JOBS, body)
--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -391,6 +391,28 @@
     play(monkeypatch, deck, drive())
 
 
+@pytest.mark.parametrize("sizes", [(2.0, 2.0, 2.0), (4.0, 2.0, 3.0)])
+def test_the_rests_of_a_limit_come_together(
+    monkeypatch: pytest.MonkeyPatch, sizes: tuple[float, ...]
+) -> None:
+    """Each shard's share of a limit held a rest in which none of its waiting tasks fitted; none
+    passed its own on, for it lacked quota itself: all waited while the team was under its limit."""
+    limit = sum(sizes) + 2.0
+    deck = Deck(13, limit=limit)
+
+    async def drive() -> tuple[float, float]:
+        await deck.run(4.0)
+        names = [of_shard(shard, n) for n in range(3) for shard in range(3)]
+        for i, name in enumerate(names):
+            other = {"crew": "blue", "cores": sizes[i % 3]}
+            await deck.beside(lambda n=name, o=other: deck.submit(n, 1, 500.0, **o))
+        await deck.run(20.0)
+        return deck.used, min(sizes[i % 3] for i, n in enumerate(names) if not deck.live(n))
+
+    used, waiting = play(monkeypatch, deck, drive())
+    assert used + waiting > limit
+
+
 def test_a_mute_machine_is_not_called_over_in_the_session_that_a_call_has_just_shown(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
