A machine is drawn while a report of it came within two thirds of a lease

Suspected, not proven: that only reports within 2.5 report times kept a machine drawn, where answers to calls did. Tests unchanged, green.

--- a/starlingdeck/coordination/machine_lists.py
+++ b/starlingdeck/coordination/machine_lists.py
@@ -17,6 +17,7 @@
 
 log = logging.getLogger(__name__)
 
+MUTE_SHARE = 2 / 3  # (start) of a lease
 GONE_S = 600.0  # (start) for how long copies of a deleted machine's reports are told
 PRUNE_S = 60.0  # how often what is known of jobs that left no trace here is forgotten
 
@@ -35,6 +36,8 @@
         workers = world.settings.settings.workers
         self.fresh_s = 2.5 * workers.report_s + 0.5
         self.lease_s = workers.lease_s
+        # Without a report for so long a machine is drawn no more, however often calls are answered.
+        self.mute_s = max(self.fresh_s, workers.lease_s * MUTE_SHARE)
         self.machines: dict[int, Machine] = {}
         self.jobs: dict[int, JobInfo] = {}
         self.wants: dict[int, dict[int, dict[int, Want]]] = {}
--- a/starlingdeck/coordination/machine_room.py
+++ b/starlingdeck/coordination/machine_room.py
@@ -38,8 +38,9 @@
             and machine.sick is None
             and machine.back is None
             and machine.token >= self.base
+            and self.world.now() - machine.heard < self.fresh_s
             # Calls may reach one whose reports don't come: what they start there renews nothing.
-            and self.world.now() - machine.spoke < self.fresh_s
+            and self.world.now() - machine.spoke < self.mute_s
         )
 
     def total(self, machine: Machine) -> Size | None:
