--- /dev/null
+++ b/scripts/scale.py
@@ -0,0 +1,83 @@
+"""Real controllers against hollow workers, on loopback, checked and measured while they run.
+
+python scripts/scale.py [PLAN.toml] [--report FILE] [--keep FOLDER]
+Without a plan: three controllers, 150 workers, 45 s with a controller killed in it. Exit status 0:
+no rule broken and every job answered for; 1: something was; 2: a plan that can't be played.
+"""
+
+import signal
+import sys
+import time
+from pathlib import Path
+
+import click
+
+ROOT = Path(__file__).resolve().parents[1]
+sys.path[:0] = [str(ROOT), str(ROOT / "target" / "deps")]
+
+import msgspec  # noqa: E402
+
+from standins.scale import report as reports  # noqa: E402
+from standins.scale.plan import load  # noqa: E402
+from standins.scale.run import play  # noqa: E402
+from starlingdeck.protocol.settings import Fault  # noqa: E402
+
+
+def say(text: str) -> None:
+    click.echo(text)
+    sys.stdout.flush()
+
+
+@click.command()
+@click.argument("plan", required=False, type=click.Path(path_type=Path))
+@click.option("--report", type=click.Path(path_type=Path), help="Write the rows here, as JSON.")
+@click.option("--keep", type=click.Path(path_type=Path), help="Keep settings and logs here.")
+def main(plan: Path | None, report: Path | None, keep: Path | None) -> None:
+    """Play a plan's rungs one after the other."""
+    try:
+        wanted = load(plan)
+    except Fault as fault:
+        for text in fault.lines:
+            click.echo(text, err=True)
+        sys.exit(2)
+    # The rungs' processes end with this one, also when it is told to end.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(143))
+    told = reports.Report(plan=wanted)
+    write(report, told)
+    for number, rung in enumerate(wanted.rungs):
+        say(
+            f"rung {number + 1} of {len(wanted.rungs)}: {rung.workers} workers,"
+            f" {rung.controllers} controllers, {wanted.starts(rung):.0f} starts a second asked for"
+        )
+        began = time.monotonic()
+        folder = keep / f"rung-{number + 1}" if keep is not None else None
+        if keep is not None:
+            keep.mkdir(exist_ok=True)
+        try:
+            row = play(wanted, rung, folder, say)
+        except RuntimeError as why:
+            click.echo(str(why), err=True)
+            sys.exit(1)
+        told.rows.append(row)
+        write(report, told)
+        for text in reports.summary(row):
+            say(text)
+        say(f"  ({time.monotonic() - began:.0f} s in all)")
+        if reports.failed(row):
+            break
+    if len(wanted.rungs) > 1:
+        say(reports.HEAD)
+        for row in told.rows:
+            say(reports.line(row))
+    told.complete = len(told.rows) == len(wanted.rungs)
+    write(report, told)
+    sys.exit(1 if any(reports.failed(row) for row in told.rows) else 0)
+
+
+def write(path: Path | None, told: reports.Report) -> None:
+    if path is not None:
+        path.write_bytes(msgspec.json.format(msgspec.json.encode(told), indent=1))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/standins/hollow_cloud.py
@@ -0,0 +1,70 @@
+"""A cloud whose machines are hollow workers, shared out over their processes.
+
+python -m standins.hollow_cloud CONFIG.json
+"""
+
+import sys
+from pathlib import Path
+
+import msgspec
+
+from standins.cloud import Cloud
+from standins.hollow import Start
+from standins.serve import serve
+from starlingdeck.protocol import api
+from starlingdeck.transport.client import HttpClient
+
+CALL_S = 20.0
+
+
+class CloudConfig(msgspec.Struct, forbid_unknown_fields=True):
+    address: str
+    types: list[api.MachineType]
+    hosts: list[str]  # control addresses of the processes of hollow workers
+    rps: float
+    list_lag_s: float
+    capacity: int
+    initial: int  # machines that are up at the start
+
+
+class HollowLauncher:
+    """Starts machines in the processes in turn."""
+
+    def __init__(self, hosts: list[str]) -> None:
+        self.hosts = hosts
+        self.started = 0
+        self.place: dict[str, str] = {}  # machine -> control address
+        self.http = HttpClient()
+
+    async def start(self, kind: api.MachineType, machine: api.MachineInfo) -> None:
+        host = self.hosts[self.started % len(self.hosts)]
+        self.started += 1
+        self.place[machine.id] = host
+        asked = Start(machine.id, kind.name, machine.zone, machine.spot, int(kind.cpus))
+        reply = await self.http.call(host, "POST", "/start", msgspec.json.encode([asked]), CALL_S)
+        machine.addr = msgspec.json.decode(reply.body, type=list[str])[0]
+
+    async def kill(self, name: str) -> None:
+        host = self.place.pop(name, None)
+        if host is not None:
+            await self.http.call(host, "POST", "/kill", msgspec.json.encode([name]), CALL_S)
+
+    async def cut(self, machine: api.MachineInfo, seconds: float) -> None:
+        raise NotImplementedError("hollow machines are killed or restarted, not cut off")
+
+
+def main() -> None:
+    config = msgspec.json.decode(Path(sys.argv[1]).read_bytes(), type=CloudConfig)
+    launcher = HollowLauncher(config.hosts)
+    cloud = Cloud(config.types, launcher, config.rps, config.list_lag_s, config.capacity)
+
+    async def start_initial() -> None:
+        kind = config.types[0]
+        for number in range(config.initial):
+            await cloud.start(kind, kind.zones[number % len(kind.zones)], False)
+
+    serve(config.address, cloud.handle, start_initial)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/standins/scale/measure.py
@@ -0,0 +1,71 @@
+"""What processes spend: processor time, memory and sockets from /proc, bytes from `ss`."""
+
+import os
+import re
+import shutil
+import subprocess
+from dataclasses import dataclass
+from pathlib import Path
+
+TICKS = os.sysconf("SC_CLK_TCK")
+PAGE = os.sysconf("SC_PAGE_SIZE")
+CPU_FIELDS = slice(11, 13)  # user and system time, after the process's name
+PORTS = re.compile(r"^(\S+)\s+(\S+)\s")
+
+
+@dataclass(frozen=True)
+class Usage:
+    """Of one process: seconds of processor time since its start, bytes, open descriptors."""
+
+    cpu_s: float
+    memory: int
+    descriptors: int
+
+
+def usage(pid: int) -> Usage | None:
+    """None when the process has ended."""
+    folder = Path(f"/proc/{pid}")
+    try:
+        fields = (folder / "stat").read_text().rpartition(")")[2].split()
+        pages = int((folder / "statm").read_text().split()[1])
+        descriptors = len(os.listdir(folder / "fd"))
+    except (OSError, IndexError):
+        return None
+    return Usage(sum(map(int, fields[CPU_FIELDS])) / TICKS, pages * PAGE, descriptors)
+
+
+@dataclass(frozen=True)
+class Traffic:
+    """Bytes that arrived at and left one listening port, over its open connections."""
+
+    received: int
+    sent: int
+    connections: int
+
+
+def traffic(ports: set[int]) -> dict[int, Traffic] | None:
+    """By listening port; None where `ss` is not to be had. Closed connections don't count."""
+    program = shutil.which("ss")
+    if program is None:
+        return None
+    told = subprocess.run(
+        [program, "-tniHO", "state", "established"], capture_output=True, text=True, check=False
+    )
+    sums = {port: [0, 0, 0] for port in ports}
+    for line in told.stdout.splitlines():
+        fields = line.split(None, 4)
+        if len(fields) < 5:
+            continue
+        port = int(fields[2].rpartition(":")[2])
+        if port not in sums:
+            continue
+        row = sums[port]
+        row[0] += _number(r"bytes_received:(\d+)", line)
+        row[1] += _number(r"bytes_sent:(\d+)", line)
+        row[2] += 1
+    return {port: Traffic(*row) for port, row in sums.items()}
+
+
+def _number(pattern: str, line: str) -> int:
+    found = re.search(pattern, line)
+    return int(found[1]) if found else 0
--- /dev/null
+++ b/standins/scale/report.py
@@ -0,0 +1,153 @@
+"""What a rung of a scale run measured, as a row and as JSON."""
+
+from typing import Any
+
+import msgspec
+
+from standins.scale.troubles import Recovery
+
+BUSY = 0.9  # of a core: a process that uses more is what limits
+LATE_TICKS = 0.05  # share of late ticks from which the hollow workers are the limit
+
+
+class Waits(msgspec.Struct):
+    """Seconds from acceptance to a task's first start."""
+
+    count: int
+    p50: float
+    p99: float
+
+
+class Row(msgspec.Struct):
+    """One rung, over its measured seconds. Rates are a second; processor time in cores."""
+
+    name: str
+    workers: int
+    controllers: int
+    asked_starts: float
+    seconds: float
+    starts: float
+    reports: float
+    submissions: float
+    polls: float
+    running: int
+    controller_cores: list[float]
+    controller_mb: float  # of the largest
+    controller_descriptors: int  # of the one with most
+    state_cores: float
+    host_cores: list[float]
+    users_cores: float
+    state_requests: float
+    state_changes: float
+    state_bytes: float
+    state_read_bytes: float
+    state_keys: int
+    state_puts: dict[str, int]  # in the measured seconds, by the first part of the key
+    over_rate: int  # answered 429 by the state service
+    malformed: int  # answered 400
+    report_bytes: float  # a worker and second, bodies of reports and of their answers
+    command_bytes: float  # a worker and second, bodies of direct commands
+    worker_bytes: float | None  # a worker and second, as sent and received at controllers' doors
+    between_bytes: float | None  # between controllers, all together
+    unanswered_reports: float
+    submit_p95_s: float
+    waits: dict[str, Waits]  # by rank
+    late_ticks: float  # share, of the hollow workers' processes
+    late_starts: int  # after a confirmed cancellation
+    out_of_order: int  # events that the checker heard too late to put in order
+    unanswered_jobs: list[str]  # asked about at the end for 75 s in vain
+    broken: list[str]
+    recoveries: list[Recovery]
+    limited_by: list[str]
+
+    @property
+    def changes_a_start(self) -> float:
+        return self.state_changes / self.starts if self.starts else 0.0
+
+
+class Report(msgspec.Struct):
+    complete: bool = False
+    plan: Any = None
+    rows: list[Row] = []
+
+
+def limits_of(row: Row, write_rps: float) -> list[str]:
+    """What had no more to give in a rung; `write_rps` is the state service's limit."""
+    found = []
+    if max(row.controller_cores) > BUSY:
+        found.append("controllers")
+    if row.over_rate or row.state_changes >= BUSY * write_rps:
+        found.append("changes of the state service")
+    if row.late_ticks > LATE_TICKS or max(row.host_cores) > BUSY:
+        found.append("hollow workers (generator)")
+    if row.users_cores > BUSY:
+        found.append("users and checker (generator)")
+    if row.state_cores > BUSY:
+        found.append("the stand-in of the state service (generator)")
+    return found
+
+
+def percentile(values: list[float], share: float) -> float:
+    """0 when there are none."""
+    if not values:
+        return 0.0
+    ordered = sorted(values)
+    return ordered[min(len(ordered) - 1, int(share * len(ordered)))]
+
+
+HEAD = (
+    "workers ctl  starts/s reports/s  ctl cores (max)  MB  state req/s chg/s chg/start"
+    "  urgent p99 s normal p50/p99 s  limited by"
+)
+
+
+def line(row: Row) -> str:
+    """A rung as one line under `HEAD`."""
+    cores = row.controller_cores
+    urgent, normal = row.waits.get("urgent"), row.waits.get("normal")
+    return (
+        f"{row.workers:7} {row.controllers:3}  {row.starts:8.1f} {row.reports:9.1f}"
+        f"  {sum(cores):9.2f} ({max(cores):.2f}) {row.controller_mb:4.0f}"
+        f" {row.state_requests:11.1f} {row.state_changes:5.1f} {row.changes_a_start:9.3f}"
+        f"  {urgent.p99 if urgent else 0.0:12.2f}"
+        f" {normal.p50 if normal else 0.0:7.2f} / {normal.p99 if normal else 0.0:5.2f}"
+        f"  {', '.join(row.limited_by) or 'nothing'}"
+    )
+
+
+def summary(row: Row) -> list[str]:
+    """A rung for somebody who sees the service run for the first time."""
+    lines = [
+        f"{row.controllers} controllers, {row.workers} hollow workers, {row.seconds:.0f} s seen:",
+        f"  {row.starts:.0f} task starts a second ({row.asked_starts:.0f} asked for),"
+        f" {row.running} tasks running at the end",
+        f"  submissions answered within {row.submit_p95_s * 1000:.0f} ms (p95)",
+    ]
+    for rank, waits in sorted(row.waits.items()):
+        lines.append(
+            f"  {rank}: {waits.count} tasks, from acceptance to start"
+            f" {waits.p50:.2f} s (p50), {waits.p99:.2f} s (p99)"
+        )
+    lines.append(
+        f"  a start cost {row.changes_a_start:.2f} changes of the state service and"
+        f" {1000 * sum(row.controller_cores) / max(row.starts, 0.01):.1f} ms of all controllers"
+    )
+    for one in row.recoveries:
+        again = "not within the run" if one.again_s is None else f"after {one.again_s:.1f} s"
+        lines.append(
+            f"  {one.kind} at {one.at_s:.0f} s: {one.running_before} tasks ran, then"
+            f" {one.running_least}; 95% again {again}; longest without a start {one.gap_s:.1f} s"
+        )
+    for text in row.broken[:20]:
+        lines.append(f"  RULE BROKEN: {text}")
+    if row.unanswered_jobs:
+        lines.append(f"  NOT ANSWERED at the end: {', '.join(row.unanswered_jobs[:10])}")
+    if row.malformed:
+        lines.append(f"  REFUSED by the state service as malformed: {row.malformed}")
+    if not failed(row):
+        lines.append("  no rule broken, every job answered for")
+    return lines
+
+
+def failed(row: Row) -> bool:
+    return bool(row.broken or row.unanswered_jobs or row.malformed)
--- /dev/null
+++ b/standins/scale/site.py
@@ -0,0 +1,228 @@
+"""The processes of one rung: state service, hollow workers, cloud, controllers; all on loopback."""
+
+import os
+import signal
+import subprocess
+import sys
+import time
+from pathlib import Path
+from typing import Any, TypeVar
+
+import curio
+import msgspec
+
+from standins.hollow import HostConfig, HostStats
+from standins.hollow_cloud import CloudConfig
+from standins.scale.measure import Usage, usage
+from standins.scale.plan import Plan, Rung, hosts
+from standins.state import Stats
+from starlingdeck.protocol import api
+from starlingdeck.protocol.settings import split_address
+from starlingdeck.transport.client import HttpClient, NoAnswer, Reply
+
+ROOT = Path(__file__).resolve().parents[2]
+READY_S = 60.0
+FETCH_S = 0.3  # mean time until a hollow worker has an image
+LIST_LAG_S = 3.0
+FIRST_NETWORK = 20  # of the hollow workers' addresses
+SPARE_MACHINES = 0.3  # more than at the start that the cloud has
+T = TypeVar("T")
+
+
+class Site:
+    """Starts, asks and ends the processes. `folder` holds their settings and logs."""
+
+    def __init__(self, plan: Plan, rung: Rung, folder: Path) -> None:
+        self.plan, self.rung, self.folder = plan, rung, folder
+        port = plan.port
+        self.state = f"127.0.0.1:{port}"
+        self.cloud = f"127.0.0.1:{port + 1}"
+        self.checker = f"127.0.0.1:{port + 2}"
+        self.hosts = [f"127.0.0.1:{port + 10 + i}" for i in range(hosts(plan, rung))]
+        self.public = [f"127.0.0.1:{port + 400 + i}" for i in range(rung.controllers)]
+        self.cluster = [f"127.0.0.1:{port + 500 + i}" for i in range(rung.controllers)]
+        self.processes: dict[str, subprocess.Popen[bytes]] = {}
+        self.spent: dict[str, float] = {}  # processor time of earlier lives
+        self.http = HttpClient()
+        # Many more connections than any process may have by default would fit no table.
+        self.environment = os.environ | {
+            "PYTHONPATH": os.pathsep.join([str(ROOT), str(ROOT / "target" / "deps"), *sys.path])
+        }
+
+    # --- settings
+
+    def controller_settings(self, number: int) -> dict[str, Any]:
+        plan, limits = self.plan, self.plan.limits
+        members = [
+            {"host_name": f"n-{i}", "zone": "a", "address": address}
+            for i, address in enumerate(self.cluster)
+        ]
+        team = {"cpus": 0.0, "cpus_max": plan.users.team_cpus_max}
+        return {
+            "host_name": f"n-{number}",
+            "zone": "a",
+            "public_addr": self.public[number],
+            "cluster_listen": self.cluster[number],
+            "peers": [m for i, m in enumerate(members) if i != number],
+            "external": {"cloud": self.cloud, "state": self.state},
+            "settings": {
+                "nodes": self.rung.controllers,
+                "zones": ["a"],
+                "teams": [{"name": f"team-{i:03d}", **team} for i in range(plan.users.teams)],
+                "workers": {
+                    "report_s": limits.report_s,
+                    "lease_s": limits.lease_s,
+                    "cancel_s": limits.cancel_s,
+                },
+                "state": {
+                    "rps": limits.rps,
+                    "write_rps": limits.write_rps,
+                    "value_kb": limits.value_kb,
+                    "txn_ops": limits.txn_ops,
+                },
+                "cloud": {"rps": limits.cloud_rps, "list_lag_s": LIST_LAG_S},
+                "machine_limits": {
+                    "cores": 1.0,
+                    "mem_mb": 2048.0,
+                    "max_connections": 4 * self.rung.workers + 600,
+                },
+                "skew_ms": 100.0,
+            },
+        }
+
+    def write(self, name: str, value: Any) -> str:
+        path = self.folder / name
+        path.write_bytes(msgspec.json.encode(value))
+        return str(path)
+
+    def host_config(self, number: int) -> HostConfig:
+        plan = self.plan
+        return HostConfig(
+            control=self.hosts[number],
+            checker=self.checker,
+            network=FIRST_NETWORK + number,
+            port=plan.port + 600,
+            controllers={f"n-{i}": address for i, address in enumerate(self.public)},
+            report_s=plan.limits.report_s,
+            lease_s=plan.limits.lease_s,
+            fetch_s=FETCH_S,
+            seed=plan.seed + number,
+            broken=plan.broken and number == 0,
+        )
+
+    def cloud_config(self) -> CloudConfig:
+        workers = self.rung.workers
+        kind = api.MachineType(
+            "hollow", float(self.plan.slots), 4.0 * self.plan.slots, ["a"], price=1.0, boot_s=1.0
+        )
+        return CloudConfig(
+            address=self.cloud,
+            types=[kind],
+            hosts=self.hosts,
+            rps=self.plan.limits.cloud_rps,
+            list_lag_s=LIST_LAG_S,
+            capacity=workers + max(10, int(SPARE_MACHINES * workers)),
+            initial=workers,
+        )
+
+    # --- processes
+
+    def start(self, name: str, *command: str) -> None:
+        before = self.usage(name)
+        if before is not None:
+            self.spent[name] = self.spent.get(name, 0.0) + before.cpu_s
+        with (self.folder / f"{name}.log").open("ab") as log:
+            self.processes[name] = subprocess.Popen(
+                [sys.executable, *command], cwd=ROOT, stdout=log, stderr=log, env=self.environment
+            )
+
+    async def start_all(self) -> None:
+        limits = self.plan.limits
+        options = [f"--rps={limits.rps}", f"--write-rps={limits.write_rps}"]
+        options += [f"--value-kb={limits.value_kb}", f"--txn-ops={limits.txn_ops}"]
+        self.start("state", "-m", "standins.state", self.state, *options)
+        for number in range(len(self.hosts)):
+            path = self.write(f"host-{number}.json", self.host_config(number))
+            self.start(f"host-{number}", "-m", "standins.hollow", path)
+        for address in (self.state, *self.hosts):
+            await self.ready(address, "/stats")
+        path = self.write("cloud.json", self.cloud_config())
+        self.start("cloud", "-m", "standins.hollow_cloud", path)
+        for number in range(self.rung.controllers):
+            self.write(f"n-{number}.json", self.controller_settings(number))
+            self.start_controller(number)
+        for address in self.public:
+            await self.ready(address, api.HEALTH)
+
+    def start_controller(self, number: int) -> None:
+        command = ["run.py", "run", "--config", str(self.folder / f"n-{number}.json")]
+        if self.plan.tuning:
+            command += ["--tuning", str(Path(self.plan.tuning).resolve())]
+        self.start(f"n-{number}", *command)
+
+    def kill_controller(self, number: int) -> None:
+        name = f"n-{number}"
+        process = self.processes[name]
+        before = self.usage(name)
+        process.kill()
+        process.wait()
+        if before is not None:
+            self.spent[name] = self.spent.get(name, 0.0) + before.cpu_s
+
+    async def ready(self, address: str, path: str) -> None:
+        until = time.monotonic() + READY_S
+        while time.monotonic() < until:
+            self.check_alive()
+            reply = await self.ask(address, "GET", path)
+            if reply is not None and reply.status == 200:
+                return
+            await curio.sleep(0.1)
+        raise RuntimeError(f"{address} did not come up; see the logs in {self.folder}")
+
+    def check_alive(self) -> None:
+        for name, process in self.processes.items():
+            if process.poll() not in (None, -signal.SIGKILL):
+                raise RuntimeError(f"{name} ended by itself; see {self.folder}/{name}.log")
+
+    def stop(self) -> None:
+        """Ends every process that was started here."""
+        for process in self.processes.values():
+            process.kill()
+        for process in self.processes.values():
+            process.wait()
+
+    # --- questions
+
+    async def ask(
+        self, address: str, method: str, path: str, body: bytes | None = None
+    ) -> Reply | None:
+        try:
+            return await self.http.call(address, method, path, body, 10.0)
+        except NoAnswer:
+            return None
+
+    async def told(self, address: str, kind: type[T]) -> T:
+        reply = await self.ask(address, "GET", "/stats")
+        if reply is None:
+            raise RuntimeError(f"{address} does not answer")
+        return msgspec.json.decode(reply.body, type=kind)
+
+    async def state_stats(self) -> Stats:
+        return await self.told(self.state, Stats)
+
+    async def host_stats(self) -> list[HostStats]:
+        return [await self.told(address, HostStats) for address in self.hosts]
+
+    def usage(self, name: str) -> Usage | None:
+        process = self.processes.get(name)
+        if process is None or process.poll() is not None:
+            return None
+        return usage(process.pid)
+
+    def cpu_s(self, name: str) -> float:
+        """Processor time of a process and of those before it under the same name."""
+        now = self.usage(name)
+        return self.spent.get(name, 0.0) + (now.cpu_s if now is not None else 0.0)
+
+    def ports(self) -> set[int]:
+        return {split_address(a)[1] for a in (*self.public, *self.cluster, self.state)}
--- /dev/null
+++ b/standins/scale/users.py
@@ -0,0 +1,207 @@
+"""Users of a scale run: they submit, repeat, poll and cancel, and hold what they hear against
+what they heard before."""
+
+import random
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import curio
+import msgspec
+
+from standins import workload
+from standins.scale.checker import Checker
+from standins.scale.plan import Users
+from starlingdeck.protocol import api
+from starlingdeck.transport.client import HttpClient, NoAnswer, Reply
+
+ANSWER_S = 5.0
+POLL_ANSWER_S = 2.0
+RETRY_S = 1.0
+FORGOTTEN_S = 75.0
+SERVICE_REPLICAS = 2
+ENDED = (api.DONE, api.CANCELLED)
+
+
+@dataclass
+class Submitted:
+    """A job as its user knows it. Times are seconds of the steady clock; 0: not yet."""
+
+    id: str
+    kind: int
+    tasks: int
+    rank: str
+    asked: float
+    accepted: float = 0.0
+    heard: float = 0.0  # when a question about it was last answered
+    done: int = 0
+    state: str = ""
+    cancelling: bool = False
+
+
+class Load:
+    """All users of a site; `addresses` are the controllers' public ones."""
+
+    def __init__(self, plan: Users, addresses: list[str], checker: Checker, seed: int) -> None:
+        self.plan = plan
+        self.addresses = addresses
+        self.checker = checker
+        self.rng = random.Random(seed)
+        self.http = HttpClient(max_idle=50, max_open=400)
+        self.jobs: dict[str, Submitted] = {}
+        self.live: dict[str, Submitted] = {}
+        self.number = 0
+        self.submissions = self.polls = self.refused = self.unanswered = 0
+        self.answers: list[float] = []  # seconds until a submission was accepted
+        self.stopped = False
+
+    async def run(self, starts_per_s: float) -> None:
+        """Submits at a rate of task starts a second until told to stop."""
+        for _ in range(self.plan.services):
+            await self.spawn(self.submit, self.draw(workload.SERVICE))
+        owed, at = 0.0, time.monotonic()
+        while not self.stopped:
+            await curio.sleep(0.05)
+            now = time.monotonic()
+            owed += (now - at) * starts_per_s
+            at = now
+            while owed > 0:
+                one = self.rng.random() < self.share_of_one()
+                job = self.draw(workload.ONE_TASK if one else workload.ARRAY)
+                owed -= job.tasks
+                await self.spawn(self.submit, job)
+
+    def share_of_one(self) -> float:
+        """Which share of the jobs has one task, so that their starts have the share asked for."""
+        ones = self.plan.one_task
+        arrays = (1 - ones) / self.plan.array_tasks
+        return ones / (ones + arrays) if ones + arrays else 0.0
+
+    def draw(self, kind: int) -> Submitted:
+        self.number += 1
+        rng, plan = self.rng, self.plan
+        tasks = 1 if kind == workload.ONE_TASK else SERVICE_REPLICAS
+        if kind == workload.ARRAY:
+            tasks = max(2, min(2000, round(rng.expovariate(1 / plan.array_tasks))))
+        run_s = plan.run_s * rng.uniform(0.5, 1.5)
+        rank = "urgent" if rng.random() < plan.urgent else "normal"
+        name = workload.job_id(kind, rng.randrange(plan.teams), run_s, self.number)
+        rank = "prod" if kind == workload.SERVICE else rank
+        return Submitted(name, kind, tasks, rank, time.monotonic())
+
+    def body(self, job: Submitted) -> bytes:
+        described = workload.describe(job.id)
+        service = described.service
+        return msgspec.json.encode(
+            {
+                "uid": job.id, "flock": f"kind-{job.kind}", "crew": f"team-{described.team:03d}",
+                "shape": api.SERVICE if service else api.ARRAY, "rank": job.rank,
+                "chores": job.tasks, "cores": 1.0, "accelerators": 0.0, "ram_gb": 0.5,
+                "kit": "image", "image_gb": 0.1, "builds": None, "roost": None,
+                "same_place": False, "spread": False, "loaners": False,
+                "guess_s": 0.0 if service else described.run_ds / 10, "mark_s": 0.0,
+                "stash_s": 0.0, "due_s": None,
+            }
+        )  # fmt: skip
+
+    async def spawn(self, do: Callable[[Submitted], object], job: Submitted) -> None:
+        await curio.spawn(do, job, daemon=True)
+
+    async def ask(
+        self, method: str, path: str, body: bytes | None, timeout_s: float
+    ) -> Reply | None:
+        try:
+            address = self.rng.choice(self.addresses)
+            reply = await self.http.call(address, method, path, body, timeout_s)
+        except NoAnswer:
+            self.unanswered += 1
+            return None
+        self.refused += reply.status not in (200, 201)
+        return reply
+
+    async def submit(self, job: Submitted) -> None:
+        body = self.body(job)
+        while not job.accepted and not self.stopped:
+            self.submissions += 1
+            reply = await self.ask("POST", api.JOBS, body, ANSWER_S)
+            if reply is not None and reply.status in (200, 201):
+                job.accepted = job.heard = time.monotonic()
+                self.answers.append(job.accepted - job.asked)
+                self.jobs[job.id] = self.live[job.id] = job
+            elif reply is not None and reply.status in (400, 404, 422):
+                self.fail("refused for ever", job, reply)
+                return
+            else:
+                await curio.sleep(max(RETRY_S, (reply.retry_after or 0.0) if reply else 0.0))
+        if not job.accepted:
+            return
+        if self.rng.random() < self.plan.repeated:
+            await self.ask("POST", api.JOBS, body, ANSWER_S)
+        cancel_at = 0.0
+        if job.kind != workload.SERVICE and self.rng.random() < self.plan.cancelled:
+            cancel_at = job.accepted + self.rng.uniform(0.0, 1.5 * self.plan.run_s)
+        await self.follow(job, cancel_at)
+
+    async def follow(self, job: Submitted, cancel_at: float) -> None:
+        """Polls until the job has ended."""
+        while job.state not in ENDED and not self.stopped:
+            wait = self.plan.poll_s * self.rng.uniform(0.8, 1.2)
+            if cancel_at and not job.cancelling:
+                wait = min(wait, max(0.0, cancel_at - time.monotonic()))
+            await curio.sleep(wait)
+            if cancel_at and time.monotonic() >= cancel_at:
+                job.cancelling = True
+                path = f"{api.JOBS}/{job.id}/{api.CANCEL}"
+                reply = await self.ask("POST", path, b"", ANSWER_S)
+                self.hear(job, reply)
+                cancel_at = 0.0 if job.state in ENDED else time.monotonic() + RETRY_S
+            else:
+                await self.poll(job)
+
+    async def poll(self, job: Submitted) -> None:
+        self.polls += 1
+        self.hear(job, await self.ask("GET", f"{api.JOBS}/{job.id}", None, POLL_ANSWER_S))
+
+    def hear(self, job: Submitted, reply: Reply | None) -> None:
+        """Holds an answer against those before."""
+        now = time.monotonic()
+        if reply is None or reply.status in (429, 503):
+            if now - job.heard > FORGOTTEN_S:
+                self.fail("forgotten", job, reply)
+            return
+        if reply.status != 200:
+            self.fail("forgotten", job, reply)
+            return
+        told = msgspec.json.decode(reply.body, type=api.JobStatus)
+        job.heard = now
+        if job.state in ENDED and told.state != job.state:
+            self.fail("went_back", job, reply)
+        if told.state == api.CANCELLED and not job.cancelling:
+            self.fail("went_back", job, reply)
+        if told.state not in ENDED and (told.done or 0) < job.done:
+            self.fail("went_back", job, reply)
+        job.done = max(job.done, told.done or 0)
+        if told.state in ENDED and job.state not in ENDED:
+            if told.state == api.DONE:
+                self.checker.told_done(job.id, job.tasks, now)
+            else:
+                self.checker.told_cancelled(job.id, now)
+            self.live.pop(job.id, None)
+        job.state = told.state
+
+    def fail(self, rule: str, job: Submitted, reply: Reply | None) -> None:
+        said = f"answered {reply.status} {reply.body[:120]!r}" if reply else "no answer"
+        self.checker.fail(time.monotonic(), rule, job.id, said)
+
+    async def ask_all_once(self, seconds: float) -> list[str]:
+        """Every job that has not ended is asked about until it is answered; who isn't in time."""
+        until = time.monotonic() + seconds
+        left = {job.id: job for job in self.live.values()}
+        while left and time.monotonic() < until:
+            for job in list(left.values()):
+                before = job.heard
+                await self.poll(job)
+                if job.heard > before:
+                    del left[job.id]
+            await curio.sleep(0.2)
+        return sorted(left)
--- a/standins/state.py
+++ b/standins/state.py
@@ -1,32 +1,58 @@
-"""A state service: compare-and-set transactions, leases, watches, and outages on request.
+"""A state service: compare-and-set transactions, leases, watches, limits, outages on request.
 
-python -m standins.state ADDRESS; POST /out with {"seconds": 5} starts an outage;
-GET /stats tells of changes made, writes asked for, and those refused for a condition.
+python -m standins.state ADDRESS [--rps N] [--write-rps N] [--value-kb N] [--txn-ops N]
+Without options nothing is limited. POST /out with {"seconds": 5} starts an outage; GET /stats tells
+what was asked for, what was changed, and what was refused.
 """
 
-import sys
+import argparse
+import bisect
 import time
 from typing import Any
 
 import curio
 import msgspec
 
+from standins.limits import Rate, StateLimits
 from standins.serve import answer, error, query, serve
 from starlingdeck.protocol import api
 from starlingdeck.transport.server import Request, Response
 
 KEPT = 10_000  # changes that a watch may still ask for
-RAW = msgspec.json.encode
+MOST_ITEMS = 1000
+MOST_PAGE = 512 * 1024  # bytes of a list
+MOST_TXN = 64 * 1024  # bytes of a transaction
+CONDITIONS = 4  # times the changes that a transaction may hold
+
+
+class Stats(msgspec.Struct):
+    """Counted since the start; `bytes` are those of the values written."""
+
+    requests: int = 0
+    changes: int = 0
+    writes: int = 0
+    refused: int = 0  # for a condition
+    over_rate: int = 0  # 429
+    malformed: int = 0  # 400, expired leases aside
+    bytes: int = 0
+    read_bytes: int = 0
+    keys: int = 0
+    put: dict[str, int] = {}  # by the first part of the key
 
 
 class State:
-    def __init__(self) -> None:
+    def __init__(self, limits: StateLimits) -> None:
+        self.limits = limits
+        self.requests = Rate(limits.rps)
+        self.changing = Rate(limits.write_rps)
         self.keys: dict[str, api.Entry] = {}
+        self.names: list[str] = []  # of the keys, in order
         self.epoch = 1
         self.changes: list[api.Event] = []
         self.leases: dict[int, tuple[float, float]] = {}  # end, length in seconds
+        self.leased: dict[str, int] = {}  # key -> lease
         self.out_until = 0.0
-        self.written = self.writes = self.refused = 0
+        self.stats = Stats()
         self.changed = curio.Event()
 
     @property
@@ -36,17 +62,21 @@
     async def handle(self, request: Request) -> Response:
         path, post = request.path, request.method == "POST"
         if path == "/out" and post:
-            seconds = msgspec.json.decode(request.body)["seconds"]
-            self.out_until = time.monotonic() + seconds
-            # After an outage every lease has its full time again.
-            self.leases = {k: (self.out_until + ttl, ttl) for k, (_, ttl) in self.leases.items()}
+            self.begin_outage(msgspec.json.decode(request.body)["seconds"])
             return answer()
         if path == "/stats":
-            return answer({"changes": self.written, "writes": self.writes, "refused": self.refused})
+            self.stats.keys = len(self.keys)
+            return answer(self.stats)
         if self.out:
             return error(503, "out")
+        self.stats.requests += 1
+        if not self.requests.take():
+            self.stats.over_rate += 1
+            return error(429, "too many requests")
+        if self.limits.latency_ms:
+            await curio.sleep(self.limits.latency_ms / 1000)
         if path == api.TXN and post:
-            return await self.txn(msgspec.json.decode(request.body, type=api.Txn))
+            return await self.txn(request.body)
         if path == api.KV:
             return self.listed(query(request))
         if path.startswith(api.KV + "/"):
@@ -55,55 +85,118 @@
         if path == api.WATCH:
             return await self.watch(query(request))
         if path == api.LEASES and post:
-            ttl = msgspec.json.decode(request.body, type=api.LeaseAsk).ttl_ms / 1000
-            lease = max(self.leases, default=0) + 1 + self.epoch
-            self.leases[lease] = (time.monotonic() + ttl, ttl)
-            return answer(api.LeaseGrant(lease))
+            return self.lease(msgspec.json.decode(request.body, type=api.LeaseAsk))
         if path.startswith(api.LEASES + "/"):
-            lease = int(path.split("/")[2])
-            if lease not in self.leases:
-                return error(404, "no such lease")
-            ttl = self.leases[lease][1] if request.method == "POST" else 0.0
-            self.leases[lease] = (time.monotonic() + ttl, ttl)
-            return answer()
+            return self.renew(int(path.split("/")[2]), post)
         return error(400, "no such path")
 
-    async def txn(self, body: api.Txn) -> Response:
-        if any(c.lease is not None and c.lease not in self.leases for c in body.changes):
+    def begin_outage(self, seconds: float) -> None:
+        self.out_until = time.monotonic() + seconds
+        # After an outage every lease has its full time again.
+        self.leases = {k: (self.out_until + ttl, ttl) for k, (_, ttl) in self.leases.items()}
+
+    def lease(self, asked: api.LeaseAsk) -> Response:
+        ttl = asked.ttl_ms / 1000
+        lease = max(self.leases, default=0) + 1 + self.epoch
+        self.leases[lease] = (time.monotonic() + ttl, ttl)
+        return answer(api.LeaseGrant(lease))
+
+    def renew(self, lease: int, post: bool) -> Response:
+        if lease not in self.leases:
+            return error(404, "no such lease")
+        ttl = self.leases[lease][1] if post else 0.0
+        self.leases[lease] = (time.monotonic() + ttl, ttl)
+        return answer()
+
+    def malformed(self, body: bytes, txn: api.Txn) -> str:
+        """Which limit of the protocol a transaction breaks, or nothing."""
+        limits = self.limits
+        if len(body) > MOST_TXN:
+            return "transaction too large"
+        if limits.txn_ops and len(txn.changes) > limits.txn_ops:
+            return "too many changes"
+        if limits.txn_ops and len(txn.conditions) > CONDITIONS * limits.txn_ops:
+            return "too many conditions"
+        if limits.value_kb:
+            most = limits.value_kb * 1024
+            for change in txn.changes:
+                if change.put is not None and len(msgspec.json.encode(change.value)) > most:
+                    return f"value of {change.put} too large"
+        return ""
+
+    async def txn(self, body: bytes) -> Response:
+        txn = msgspec.json.decode(body, type=api.Txn)
+        fault = self.malformed(body, txn)
+        if fault:
+            self.stats.malformed += 1
+            return error(400, fault)
+        if not self.changing.take(len(txn.changes)):
+            self.stats.over_rate += 1
+            return error(429, "too many changes")
+        if any(c.lease is not None and c.lease not in self.leases for c in txn.changes):
             return error(400, "no such lease")
-        stamps = {c.key: self.keys[c.key].version if c.key in self.keys else 0
-                  for c in body.conditions}  # fmt: skip
-        failed = [c.key for c in body.conditions if stamps[c.key] != c.version]
-        self.writes += bool(body.changes)
-        self.refused += bool(failed)
+        failed = [c.key for c in txn.conditions if self.version(c.key) != c.version]
+        self.stats.writes += bool(txn.changes)
+        self.stats.refused += bool(failed)
         if failed:
             return answer({"failed": failed, "epoch": self.epoch}, 409)
-        if body.changes:
-            await self.apply(body.changes)
+        if txn.changes:
+            self.stats.changes += len(txn.changes)
+            await self.apply(txn.changes)
         return answer(api.TxnDone(self.epoch))
 
+    def version(self, key: str) -> int:
+        found = self.keys.get(key)
+        return found.version if found is not None else 0
+
     async def apply(self, changes: list[api.Change]) -> None:
         self.epoch += 1
-        self.written += len(changes)
         for change in changes:
             if change.put is not None:
-                value = msgspec.Raw(RAW(change.value))
-                self.keys[change.put] = api.Entry(change.put, value, self.epoch, change.lease)
-                self.changes.append(api.Event(self.epoch, change.put, value))
-            elif self.keys.pop(change.delete or "", None):
-                self.changes.append(api.Event(self.epoch, delete=change.delete))
+                self.put(change)
+            elif change.delete is not None:
+                self.drop(change.delete)
         del self.changes[:-KEPT]
         event, self.changed = self.changed, curio.Event()
         await event.set()
 
+    def put(self, change: api.Change) -> None:
+        key = change.put or ""
+        value = msgspec.Raw(msgspec.json.encode(change.value))
+        self.stats.bytes += len(bytes(value))
+        kind = key.split("/")[0]
+        self.stats.put[kind] = self.stats.put.get(kind, 0) + 1
+        if key not in self.keys:
+            bisect.insort(self.names, key)
+        self.keys[key] = api.Entry(key, value, self.epoch, change.lease)
+        self.leased.pop(key, None)
+        if change.lease is not None:
+            self.leased[key] = change.lease
+        self.changes.append(api.Event(self.epoch, key, value))
+
+    def drop(self, key: str) -> None:
+        if self.keys.pop(key, None) is None:
+            return
+        del self.names[bisect.bisect_left(self.names, key)]
+        self.leased.pop(key, None)
+        self.changes.append(api.Event(self.epoch, delete=key))
+
     def listed(self, asked: dict[str, str]) -> Response:
-        limit = min(1000, int(asked.get("limit", 1000)))
-        names = sorted(
-            k for k in self.keys
-            if k.startswith(asked.get("prefix", "")) and k > asked.get("after", "")
-        )  # fmt: skip
-        found = [self.keys[k] for k in names[:limit]]
-        return answer(api.Entries(found, self.epoch, len(names) > limit))
+        prefix, after = asked.get("prefix", ""), asked.get("after", "")
+        limit = min(MOST_ITEMS, int(asked.get("limit", MOST_ITEMS)))
+        found: list[api.Entry] = []
+        size, more = 0, False
+        first = max(bisect.bisect_left(self.names, prefix), bisect.bisect_right(self.names, after))
+        for name in self.names[first:]:
+            if not name.startswith(prefix):
+                break
+            size += len(bytes(self.keys[name].value)) + len(name)
+            if len(found) >= limit or (found and size > MOST_PAGE):
+                more = True
+                break
+            found.append(self.keys[name])
+        self.stats.read_bytes += size
+        return answer(api.Entries(found, self.epoch, more))
 
     async def watch(self, asked: dict[str, str]) -> Response:
         prefix, after = asked.get("prefix", ""), int(asked.get("after", 0))
@@ -111,13 +204,15 @@
         while True:
             if self.changes and after < self.changes[0].version - 1 and len(self.changes) == KEPT:
                 return error(410, "too old")
+            first = bisect.bisect_right(self.changes, after, key=lambda e: e.version)
             found = [
-                e for e in self.changes
-                if e.version > after and (e.put or e.delete or "").startswith(prefix)
-            ]  # fmt: skip
+                e for e in self.changes[first:] if (e.put or e.delete or "").startswith(prefix)
+            ]
             left = until - time.monotonic()
             if not self.out and (found or left <= 0):
                 return answer(api.Events(found, self.epoch))
+            if not found:
+                after = max(after, self.epoch)  # nothing up to here concerns this watch
             async with curio.ignore_after(max(0.05, left)):
                 await self.changed.wait()
 
@@ -127,14 +222,26 @@
             await curio.sleep(0.02)
             if self.out:
                 continue
-            over = {k for k, (end, _) in self.leases.items() if time.monotonic() > end}
-            gone: list[Any] = [k for k, e in self.keys.items() if e.lease in over]
+            now = time.monotonic()
+            over = {k for k, (end, _) in self.leases.items() if now > end}
+            gone: list[Any] = [k for k, lease in self.leased.items() if lease in over]
             for lease in over:
                 del self.leases[lease]
             if gone:
                 await self.apply([api.Change(delete=key) for key in gone])
 
 
+def main() -> None:
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("address")
+    for name in ("rps", "write-rps", "value-kb", "latency-ms"):
+        parser.add_argument(f"--{name}", type=float, default=0.0)
+    parser.add_argument("--txn-ops", type=int, default=0)
+    asked = vars(parser.parse_args())
+    address = asked.pop("address")
+    state = State(StateLimits(**asked))
+    serve(address, state.handle, state.lapse)
+
+
 if __name__ == "__main__":
-    state = State()
-    serve(sys.argv[1], state.handle, state.lapse)
+    main()
