Commit log read and replayed; a shard's starts and ends can be written together, switched off

Cause: every job with a change costs a put of its whole record, about one change a start. Read by all; written only with a section group_commit in the tuning file. Parts of ended arrays are deleted. A count of done tasks is taken at once, after all reading.

--- a/standins/scale/run.py
+++ b/standins/scale/run.py
@@ -242,4 +242,3 @@
             return curio.run(one.run)  # type: ignore[no-any-return]
         finally:
             one.site.stop()
-
--- /dev/null
+++ b/starlingdeck/coordination/group_commit.py
@@ -0,0 +1,270 @@
+"""Makes the starts and ends of all of a shard's jobs durable together, by its commit log.
+
+One key is written a commit, whatever the number of jobs. Each commit stands on the shard's key, on
+the versions of the records of its jobs, and on its own key as the commit before left it.
+"""
+
+import logging
+
+import msgspec
+from msgspec import Struct
+
+from starlingdeck.coordination.commit_log import Prepared
+from starlingdeck.coordination.job import URGENT, Draft, Job
+from starlingdeck.coordination.jobs import JobShard
+from starlingdeck.coordination.world import World
+from starlingdeck.protocol import api
+from starlingdeck.protocol.settings import GroupCommitSettings
+from starlingdeck.storage import records
+from starlingdeck.storage.commit_log import JobChange, read_segments, segment_key
+from starlingdeck.storage.state import Conflict, StateClient, StateError, StateUnknown, put
+
+log = logging.getLogger(__name__)
+
+MOST_TASKS = 150  # of one job in a commit: they have to fit into one value
+LEAST_BYTES = 1024  # of a commit: with less room a job's part may not fit
+CONDITIONS = 4  # times the changes that a transaction may hold
+
+
+class Batch(Struct):
+    """What goes into the next commit. `more`: not all that waits did."""
+
+    drafts: list[Draft] = []
+    changes: list[JobChange] = []
+    encoded: list[bytes] = []
+    conditions: dict[str, int] = {}
+    more: bool = False
+
+
+class GroupCommit:
+    """One per job shard. Its callers hold the lock that keeps the shard's writes in order.
+
+    Without settings nothing is written to the log; what is there is still followed.
+    """
+
+    def __init__(
+        self,
+        world: World,
+        state: StateClient,
+        shard: JobShard,
+        settings: GroupCommitSettings | None,
+    ) -> None:
+        self.world = world
+        self.state = state
+        self.shard = shard
+        self.settings = settings
+        self.since: dict[int, float] = {}  # job -> since when it has had something to be written
+        self.at_once = False  # the last commit could not take all that waited
+
+    # --- what goes by the log, and when
+
+    def by_log(self, job: Job) -> bool:
+        """Whether a job's next write is a commit of the log; else its record is rewritten."""
+        if self.settings is None or job.needs or not (job.ends or job.starts):
+            return False
+        if self.shard.final_of(job):
+            return False
+        # Without any room the ends go on by records, and the starts wait.
+        return not job.ends or self.shard.log.bytes_free() >= LEAST_BYTES
+
+    def may_start(self) -> bool:
+        """Whether starts may be recorded at all: a full log holds them back."""
+        return self.settings is None or self.shard.log.bytes_free(True) >= LEAST_BYTES
+
+    def due_s(self) -> float | None:
+        """How long until the next commit; None when nothing waits for one."""
+        if self.settings is None:
+            return None
+        now = self.world.now()
+        waiting = self._waiting()
+        self.since = {job.index: self.since.get(job.index, now) for job in waiting}
+        if self.at_once and waiting:
+            return 0.0
+        due = [self.since[job.index] + self._patience_s(job, self.settings) for job in waiting]
+        return max(0.0, min(due) - now) if due else None
+
+    def _waiting(self) -> list[Job]:
+        jobs = (self.shard.jobs.get(index) for index in self.shard.dirty)
+        starting = self.may_start()
+        return [
+            job
+            for job in jobs
+            if job is not None
+            and not job.stale
+            and (job.ends or (job.starts and starting and not job.cancelled))
+            and self.by_log(job)
+            and not self.world.rests("job", job.id)
+        ]
+
+    @staticmethod
+    def _patience_s(job: Job, settings: GroupCommitSettings) -> float:
+        return settings.urgent_s if _urgent(job) else settings.interval_s
+
+    # --- the commit
+
+    def collect(self) -> Batch:
+        """As much of what waits as one commit takes, urgent starts first."""
+        batch = Batch()
+        starting = self.may_start()
+        room = self.shard.log.bytes_free(starting)
+        txn_ops = self.world.settings.settings.state.txn_ops
+        allowed = CONDITIONS * txn_ops - 2  # the shard's key and the commit's own
+        waiting = self._waiting()
+        waiting.sort(key=lambda j: (not _urgent(j), self.since.get(j.index, 0.0)))
+        for job in waiting:
+            left = allowed - len(batch.conditions)
+            if left < 1 or room < LEAST_BYTES:
+                batch.more = True
+                break
+            try:
+                # The record's own key is a condition as well.
+                part = self.shard.draft_change(job, starting, max(1, left - 1), MOST_TASKS)
+            except Exception as why:
+                self.world.set_aside("job", job.id, why)
+                continue
+            if part is None:
+                self.shard.dirty.discard(job.index)
+                continue
+            draft, change = part
+            encoded = msgspec.json.encode(change)
+            if len(encoded) + 1 > room or len(draft.conditions) > left:
+                batch.more = True
+                continue
+            room -= len(encoded) + 1
+            batch.drafts.append(draft)
+            batch.changes.append(change)
+            batch.encoded.append(encoded)
+            batch.conditions |= draft.conditions
+        return batch
+
+    async def commit(self, batch: Batch) -> bool:
+        """Writes it; whether the shard is still ours by what the state service says."""
+        shard_key = records.shard_key(self.shard.shard)
+        token = self.shard.token
+        jobs = [draft.job.index for draft in batch.drafts]
+        commit = self.shard.log.prepare(batch.changes, batch.encoded, jobs)
+        conditions = {shard_key: token, commit.key: commit.version, **batch.conditions}
+        added = self._doubt(batch)
+        try:
+            change = put(commit.key, commit.value)
+            revision = await self.state.txn(conditions, [change], True)
+        except Conflict as fault:
+            self._undoubt(added)
+            return await self._refused(fault, batch, commit, token)
+        except StateUnknown:
+            # Until it is known whether it was carried out, nothing else of the shard is written.
+            self.shard.log.unknown = commit
+            for draft in batch.drafts:
+                draft.job.stale = True
+            raise
+        except StateError:
+            self._undoubt(added)
+            raise
+        self._undoubt(added)
+        self.shard.log.written(commit, revision)
+        self.at_once = batch.more
+        for draft in batch.drafts:
+            self.since.pop(draft.job.index, None)
+            self.shard.commit(draft, revision)
+        return True
+
+    def _doubt(self, batch: Batch) -> list[tuple[Job, set[int]]]:
+        """Others that read the log may tell its users of an end before we know: until then the
+        job's answers come from there as well."""
+        added = []
+        for draft, change in zip(batch.drafts, batch.changes, strict=True):
+            ended = {task // records.CHUNK for task in change.done} - draft.job.in_doubt
+            draft.job.in_doubt |= ended
+            added.append((draft.job, ended))
+        return added
+
+    @staticmethod
+    def _undoubt(added: list[tuple[Job, set[int]]]) -> None:
+        for job, ended in added:
+            job.in_doubt -= ended
+
+    async def _refused(self, fault: Conflict, batch: Batch, commit: Prepared, token: int) -> bool:
+        """Nothing was written: another controller changed a record, or the shard isn't ours."""
+        if records.shard_key(self.shard.shard) in fault.failed:
+            return token != self.shard.token  # our token rose meanwhile
+        if commit.key in fault.failed:
+            # Its version is not the one that we know: look what it holds before writing on.
+            self.shard.log.unknown = commit
+        for draft in batch.drafts:
+            if any(key in fault.failed for key in draft.conditions):
+                draft.job.stale = True
+        return True
+
+    # --- a commit of unknown fate
+
+    async def settle(self) -> None:
+        """Finds out whether the last commit was carried out; StateError while it can't be known.
+
+        A commit that was not yet carried out may be at any time, after newer writes: its key is
+        written again without it first, and so its condition can't hold any more.
+        """
+        commit = self.shard.log.unknown
+        if commit is None:
+            return
+        entry = await self.state.get(commit.key, True)
+        version = entry.version if entry is not None else 0
+        if version == commit.version:
+            await self._fence(commit)
+        elif entry is not None:
+            self._read_fate(commit, entry)
+        else:
+            raise StateError(f"{commit.key} is gone")
+        self.shard.log.unknown = None
+        for index in commit.jobs:
+            job = self.shard.jobs.get(index)
+            if job is not None:
+                job.stale = True  # read again, with what is now known of the log
+                job.in_doubt.clear()
+
+    async def _fence(self, commit: Prepared) -> None:
+        key, ring = records.shard_key(self.shard.shard), self.shard.log
+        conditions = {key: self.shard.token, commit.key: commit.version}
+        try:
+            version = await self.state.txn(conditions, [put(commit.key, ring.fence(commit))], True)
+        except Conflict as fault:
+            raise StateError(f"a commit's fate is still open: {fault}") from fault
+        ring.fenced(commit, version)
+        log.info("shard %d: a commit without an answer was fenced off", self.shard.shard)
+
+    def _read_fate(self, commit: Prepared, entry: api.Entry) -> None:
+        if commit.position in read_segments([entry]).last.values():
+            self.shard.log.written(commit, entry.version)
+            log.info("shard %d: a commit without an answer was carried out", self.shard.shard)
+        else:
+            self.shard.log.fenced(commit, entry.version)
+
+    # --- segments that nobody needs any more
+
+    def checkpoint_due(self) -> bool:
+        """Whether records are to be rewritten so that segments come free; all of them, once the
+        log is not written any more."""
+        ring = self.shard.log
+        return ring.checkpoint_due() if self.settings is not None else not ring.clean
+
+    def leftover(self, most: int) -> dict[str, int]:
+        """Keys of a log that is not written any more and that all records are past, by version."""
+        ring = self.shard.log
+        if self.settings is not None or ring.empty or not ring.clean:
+            return {}
+        slots = list(ring.slots.items())[:most]
+        return {segment_key(self.shard.shard, n): slot.version for n, slot in slots}
+
+    async def delete(self, keys: dict[str, int]) -> None:
+        conditions = {records.shard_key(self.shard.shard): self.shard.token, **keys}
+        try:
+            await self.state.txn(conditions, [api.Change(delete=key) for key in keys])
+        except Conflict as fault:
+            log.info("shard %d: segments not deleted: %s", self.shard.shard, fault)
+            return
+        self.shard.log.dropped(keys)
+        if self.shard.log.empty:
+            log.info("shard %d: the commit log is empty", self.shard.shard)
+
+
+def _urgent(job: Job) -> bool:
+    return bool(job.starts) and job.spec.rank >= URGENT
--- a/starlingdeck/coordination/job.py
+++ b/starlingdeck/coordination/job.py
@@ -12,10 +12,18 @@
 from starlingdeck.protocol import api
 from starlingdeck.protocol.api import JobSpec
 from starlingdeck.storage import records
-from starlingdeck.storage.records import CHUNK, Chunk, JobRecord
+from starlingdeck.storage.records import (
+    CHUNK,
+    LOG_START,
+    Chunk,
+    JobRecord,
+    Placement,
+    Position,
+)
 
 PENDING, PLACED, DONE = range(3)
 FOR_EVER = 1e18
+URGENT = 2  # ranks from here on start as urgently as a submission is taken
 
 
 class Place(Struct):
@@ -115,9 +123,11 @@
         """Of those, the ones that need not wait before they are tried again."""
         return [t for t in self.pending(most) if self.retry_at.get(t, 0.0) <= now]
 
-    def done_in(self, number: int) -> int:
-        """How many tasks of one part of its record have completed."""
-        return self.state[number * CHUNK : (number + 1) * CHUNK].count(DONE)
+    def unknown_done(self, number: int, bits: int) -> int:
+        """How many tasks of chunk `number`, given as bits, are done and not known here as such."""
+        first = number * CHUNK
+        known = int(records.pack_done(self.state, first, DONE) or "0", 16)
+        return (bits & ~known).bit_count()
 
     def used(self) -> int:
         """Attempts that may be using a machine: recorded, or about to be."""
@@ -191,10 +201,22 @@
     return job
 
 
+def placement(world: World, task: int, place: Place) -> Placement:
+    """An attempt as records and the log say it."""
+    machine, zone = world.machines[place.machine], world.zones[place.zone]
+    return (task, place.attempt, machine, place.session, zone)
+
+
 def encode_chunk(
-    world: World, job: Job, number: int, ends: dict[int, int], starts: dict[int, Place]
+    world: World,
+    job: Job,
+    number: int,
+    ends: dict[int, int],
+    starts: dict[int, Place],
+    upto: Position = LOG_START,
 ) -> Chunk:
-    """Chunk `number` as it will be once `ends` and `starts` are true."""
+    """Chunk `number` as it will be once `ends` and `starts` are true; it holds all that the
+    commit log says up to `upto`."""
     first = number * CHUNK
     last = min(first + CHUNK, job.spec.tasks)
     done = int(records.pack_done(job.state, first, DONE) or "0", 16)
@@ -210,10 +232,8 @@
     return Chunk(
         records.pack_tries(tries, 0),
         f"{done:x}" if done else "",
-        [
-            (t, p.attempt, world.machines[p.machine], p.session, world.zones[p.zone])
-            for t, p in places.items()
-        ],
+        [placement(world, task, place) for task, place in places.items()],
+        upto,
     )
 
 
--- a/starlingdeck/coordination/jobs.py
+++ b/starlingdeck/coordination/jobs.py
@@ -5,8 +5,10 @@
 """
 
 import logging
+from collections.abc import Iterable
 
 from starlingdeck.coordination import tally
+from starlingdeck.coordination.commit_log import CommitLog
 from starlingdeck.coordination.job import (
     DONE,
     PENDING,
@@ -17,6 +19,7 @@
     Place,
     densest,
     encode_chunk,
+    placement,
 )
 from starlingdeck.coordination.names import split_key, task_key
 from starlingdeck.coordination.sights import Sight
@@ -24,12 +27,14 @@
 from starlingdeck.protocol import api
 from starlingdeck.protocol import peer_pb2 as pb
 from starlingdeck.storage import records
+from starlingdeck.storage.commit_log import JobChange
 from starlingdeck.storage.records import CHUNK, JobRecord
 from starlingdeck.storage.state import drop, put
 
 log = logging.getLogger(__name__)
 
 FINALS_KEPT = 5000  # jobs that are over and answered without a question; the record knows all
+PARTS_KEPT_S = 10.0  # (start) of ended arrays: a look that began before the end reads them still
 LISTED_S = 0.3  # (start) from a record's writing until its machine's owner has the list
 
 
@@ -54,6 +59,9 @@
         self.released = False  # since the last plan: units of counts came free
         self.cancelling: dict[int, float] = {}  # jobs: when a cancellation of unknown fate was sent
         self.replicas = False  # since the last plan: replicas came, or lost their place
+        value_bytes = world.settings.settings.state.value_kb * 1000
+        self.log = CommitLog(shard, token, value_bytes)
+        self.old_parts: dict[str, float] = {}  # keys of ended arrays -> from when to delete them
 
     # --- the jobs, and where their tasks are
 
@@ -71,6 +79,12 @@
             for task in list(job.places):
                 self._leave(job, task)
 
+    def leave_parts(self, keys: Iterable[str]) -> None:
+        """Parts of the records of ended arrays: read by every takeover until they are deleted."""
+        due = self.world.now() + PARTS_KEPT_S
+        for key in keys:
+            self.old_parts.setdefault(key, due)
+
     def keep_final(self, name: str, state: str, done: int) -> None:
         """A job is over. The oldest are forgotten here, whoever asks: of one-task jobs, four a
         second, a day's were kept, since only a question about an unknown job dropped any."""
@@ -308,29 +322,34 @@
 
     # --- making it durable
 
-    def draft(self, job: Job, most_chunks: int = 3) -> Draft | None:
-        """The next write for a job, or None when nothing is to be written."""
+    def final_of(self, job: Job) -> str:
+        """The state in which a job is over once its ends are written, or nothing."""
+        ends = [t for t in job.ends if t in job.places]
+        if job.cancelled:
+            # Its user was told so: it stays cancelled even when every task completed.
+            return "" if len(job.places) > len(ends) else api.CANCELLED
+        return api.DONE if self._finished(job) == job.spec.tasks else ""
+
+    def _finished(self, job: Job) -> int:
+        """How many tasks have completed, those that are yet to be written among them."""
+        ended = (why for task, why in job.ends.items() if task in job.places)
+        return job.finished + sum(why == api.W_DONE for why in ended)
+
+    def draft(self, job: Job, most_chunks: int = 3, starting: bool = True) -> Draft | None:
+        """The next write of a job's record, or None when nothing is to be written.
+
+        `starting`: whether starts may be in it.
+        """
         if job.final or job.stale:
             return None
         ends = {t: w for t, w in job.ends.items() if t in job.places}
-        self._drop_late(job)
-        starts = {} if job.cancelled else dict(job.starts)
-        for task in job.withheld & starts.keys():
-            del starts[task]
-        left = len(job.places) - len(ends)
-        finished = job.finished + sum(1 for w in ends.values() if w == api.W_DONE)
-        final = ""
-        if job.cancelled:
-            # Its user was told so: it stays cancelled even when every task completed.
-            final = "" if left else api.CANCELLED
-        elif finished == job.spec.tasks:
-            final = api.DONE
+        starts = self._startable(job) if starting else {}
         main = records.job_key(self.shard, job.id)
         holder = records.shard_key(self.shard)
         conditions = {holder: self.token, main: job.versions[0]}
-        if final:
+        if final := self.final_of(job):
             key = records.final_key(self.shard, job.id)
-            done = 0 if final == api.DONE else finished
+            done = 0 if final == api.DONE else self._finished(job)
             value = records.FinalRecord(final, job.spec.tasks, done)
             return Draft(job, conditions, [put(key, value), drop(main)], ends, {}, final, False, [])
         if not ends and not starts:
@@ -339,9 +358,23 @@
         chunks = densest((*ends, *starts), most)
         ends = {t: w for t, w in ends.items() if t // CHUNK in chunks}
         starts = {t: p for t, p in starts.items() if t // CHUNK in chunks}
+        return self._rewrite(job, chunks, ends, starts)
+
+    def _startable(self, job: Job) -> dict[int, Place]:
+        self._drop_late(job)
+        if job.cancelled:
+            return {}
+        return {t: place for t, place in job.starts.items() if t not in job.withheld}
+
+    def _rewrite(
+        self, job: Job, chunks: list[int], ends: dict[int, int], starts: dict[int, Place]
+    ) -> Draft:
+        """These chunks of a job's record as they will be once `ends` and `starts` are true."""
+        main = records.job_key(self.shard, job.id)
+        conditions = {records.shard_key(self.shard): self.token, main: job.versions[0]}
         changes = []
         for number in chunks:
-            chunk = encode_chunk(self.world, job, number, ends, starts)
+            chunk = encode_chunk(self.world, job, number, ends, starts, self.log.durable)
             if number == 0:
                 record = JobRecord(job.spec, job.at_ms, job.cancelled, chunk)
                 changes.append(put(main, record))
@@ -351,6 +384,41 @@
                 changes.append(put(key, chunk))
         return Draft(job, conditions, changes, ends, starts, "", False, chunks)
 
+    def draft_checkpoints(self, most: int) -> list[Draft]:
+        """Up to `most` chunks of records rewritten, so that segments of the log come free."""
+        chunks: dict[int, list[int]] = {}
+        for index, number in self.log.oldest_dirty(most):
+            chunks.setdefault(index, []).append(number)
+        jobs = [self.jobs[index] for index in chunks if index in self.jobs]
+        good = [job for job in jobs if not (job.stale or self.world.rests("job", job.id))]
+        return [self._rewrite(job, chunks[job.index], {}, {}) for job in good]
+
+    def draft_change(
+        self, job: Job, starting: bool, chunks: int, tasks: int
+    ) -> tuple[Draft, JobChange] | None:
+        """A job's part of the next commit of the log, of at most so many chunks and tasks."""
+        if job.final or job.stale:
+            return None
+        starts = self._startable(job) if starting else {}
+        ends = {t: w for t, w in job.ends.items() if t in job.places}
+        if not ends and not starts:
+            return None
+        chosen = set(densest((*ends, *starts), chunks))
+        ends = {t: w for t, w in ends.items() if t // CHUNK in chosen}
+        starts = {t: p for t, p in starts.items() if t // CHUNK in chosen}
+        ends = dict(list(ends.items())[:tasks])
+        starts = {t: p for t, p in starts.items() if t in ends or t not in job.places}
+        starts = dict(list(starts.items())[: tasks - len(ends)])
+        done = [t for t, why in ends.items() if why == api.W_DONE]
+        freed = [t for t, why in ends.items() if why != api.W_DONE]
+        placed = [placement(self.world, t, place) for t, place in starts.items()]
+        change = JobChange(job.id, placed, done, freed)
+        conditions = {records.job_key(self.shard, job.id): job.versions[0]}
+        for number in change.chunks() - {0}:
+            key = records.chunk_key(self.shard, job.id, number)
+            conditions[key] = job.versions.get(number, 0)
+        return Draft(job, conditions, [], ends, starts, "", False, []), change
+
     def _drop_late(self, job: Job) -> None:
         """Starts whose room is given to others before their list comes wait again, unwritten.
 
@@ -365,7 +433,8 @@
         """A cancellation, written before it is answered."""
         main = records.job_key(self.shard, job.id)
         conditions = {records.shard_key(self.shard): self.token, main: job.versions[0]}
-        record = JobRecord(job.spec, job.at_ms, True, encode_chunk(self.world, job, 0, {}, {}))
+        chunk = encode_chunk(self.world, job, 0, {}, {}, self.log.durable)
+        record = JobRecord(job.spec, job.at_ms, True, chunk)
         return Draft(job, conditions, [put(main, record)], {}, {}, "", True, [0])
 
     def commit(self, draft: Draft, revision: int) -> None:
@@ -379,10 +448,16 @@
             job.finished += sum(1 for why in draft.ends.values() if why == api.W_DONE)
             self.keep_final(job.id, draft.final, job.finished)
             self.dirty.discard(job.index)
+            self.log.forget(job.index, job.id, records.chunks_of(job.spec.tasks))
+            parts = (n for n in job.versions if n)
+            self.leave_parts(records.chunk_key(self.shard, job.id, n) for n in parts)
             log.info("job %s: %s", job.id, draft.final)
             return
         for number in draft.chunks:
             job.versions[number] = revision
+            self.log.covered((job.index, number), self.log.durable)
+        if draft.chunks:
+            self.log.trim(job.index, job.id)
         if 0 in draft.chunks:
             job.unsure = False  # what was sent before can't be executed any more
             job.in_doubt.clear()
--- a/starlingdeck/coordination/membership.py
+++ b/starlingdeck/coordination/membership.py
@@ -65,6 +65,7 @@
         self.takes: dict[int, int] = {}  # shard -> the version of its last takeover's key
         self.announced = False  # our node's key hangs on our lease
         self.quiet: dict[int, int] = {}  # of shards held: when all former holders are quiet, in ms
+        self.logged: set[int] = set()  # shards whose records may be behind a commit log
         self.synced = False
         self.reached = True
         self.revision = 0
@@ -210,6 +211,8 @@
             return
         if mine is not None:
             await self._drop(shard)
+        if value.logged:
+            self.logged.add(shard)
         self.present[shard] = (event.version, value)
         self.absent.pop(shard, None)
         self.note_holder(shard, Holder(value.node, event.version, value.gen))
@@ -277,7 +280,8 @@
         # One carried out late, after another's hold, would show a `quiet_ms` from before that.
         last = records.hold_key(shard)
         conditions = {key: version, last: self.takes.get(shard, 0)}
-        change = put(key, ShardValue(self.world.node, gen, quiet_ms), self.lease)
+        value = ShardValue(self.world.node, gen, quiet_ms, self.writes_log(shard))
+        change = put(key, value, self.lease)
         token = await self.state.txn(conditions, [change, put(last, self.world.node)], True)
         self.takes[shard] = token
         self.quiet[shard] = quiet_ms
@@ -289,13 +293,18 @@
         log.info("shard %d: taken over with token %d", shard, token)
         await self.hooks.gained(shard, token, gen, wait_s)
 
+    def writes_log(self, shard: int) -> bool:
+        """Whether a shard's records may be behind its commit log."""
+        return self.world.tuning.group_commit is not None or shard in self.logged
+
     async def raise_token(self, shard: int) -> None:
         """Rewrite the shard's key, so that its stamp and with it our token rises."""
         mine = self.held.get(shard)
         if mine is None:
             return
         key = records.shard_key(shard)
-        change = put(key, ShardValue(mine.node, mine.gen, self.quiet.get(shard, 0)), self.lease)
+        value = ShardValue(mine.node, mine.gen, self.quiet.get(shard, 0), self.writes_log(shard))
+        change = put(key, value, self.lease)
         token = await self.state.txn({key: mine.token}, [change], True)
         await self._raised(shard, token)
 
--- a/starlingdeck/coordination/planner.py
+++ b/starlingdeck/coordination/planner.py
@@ -9,7 +9,7 @@
 from starlingdeck.coordination import placement, scheduler
 from starlingdeck.coordination.admission import Admission
 from starlingdeck.coordination.fleet import Demand
-from starlingdeck.coordination.job import Job, Place
+from starlingdeck.coordination.job import URGENT, Job, Place
 from starlingdeck.coordination.jobs import job_message
 from starlingdeck.coordination.membership import Membership
 from starlingdeck.coordination.names import split_key
@@ -19,7 +19,7 @@
 from starlingdeck.coordination.rooms import Rooms
 from starlingdeck.coordination.scheduler import Pick, Round, Stops, TeamJob
 from starlingdeck.coordination.world import World
-from starlingdeck.coordination.writer import URGENT, Writer
+from starlingdeck.coordination.writer import Writer
 from starlingdeck.protocol import api
 from starlingdeck.protocol import peer_pb2 as pb
 from starlingdeck.protocol.settings import OverloadSettings
--- a/starlingdeck/coordination/users.py
+++ b/starlingdeck/coordination/users.py
@@ -10,6 +10,7 @@
 from starlingdeck.coordination.admission import Admission
 from starlingdeck.coordination.job import Job, new_job
 from starlingdeck.coordination.jobs import JobShard
+from starlingdeck.coordination.log_reader import LogReader
 from starlingdeck.coordination.membership import Membership
 from starlingdeck.coordination.peers import PeerDown, Peers
 from starlingdeck.coordination.shards import job_shard
@@ -19,6 +20,7 @@
 from starlingdeck.protocol import peer_pb2 as pb
 from starlingdeck.protocol.api import JobSpec
 from starlingdeck.storage import records
+from starlingdeck.storage.commit_log import Logged, done_bits, replay
 from starlingdeck.storage.records import FinalRecord, JobRecord, ShardValue
 from starlingdeck.storage.state import Conflict, StateClient, StateError, StateUnknown, put
 from starlingdeck.transport.server import Request, Response
@@ -83,6 +85,7 @@
         self.writers = writers
         self.admission = admission
         self.kick = kick
+        self.logs = LogReader(state)
         self.busy = 0
 
     async def handle(self, request: Request) -> Response:
@@ -293,6 +296,8 @@
         it would go on giving machines' owners its word for the job.
         """
         shard = job_shard(name, self.world.shards)
+        # Before the record: what a checkpoint takes out of the log meanwhile is in the record then.
+        changes = await self._logged(shard, name)
         entry = await self.state.get(records.job_key(shard, name), True)
         if entry is not None:
             record = msgspec.json.decode(entry.value, type=JobRecord)
@@ -300,7 +305,8 @@
                 known = held.cancelled if held else await self._taken(shard, name)
                 if not known:
                     return fault(503, UNHEARD)
-            running, done = len(record.chunk.on), await self._count_done(shard, record, held)
+            done = await self._count_done(shard, record, changes, held)
+            running = len(replay({0: record.chunk}, changes)[0].on)
             state = api.CANCELLED if record.cancelled else api.RUNNING if running else api.QUEUED
             return answer(200, api.JobStatus(name, state, done, running))
         entry = await self.state.get(records.final_key(shard, name), True)
@@ -309,24 +315,34 @@
             return answer(200, final_status(name, final.state, final.completed))
         return None
 
-    async def _count_done(self, shard: int, record: JobRecord, held: Job | None) -> int:
-        """How many tasks of a job have completed by its record, all its parts counted: by the
-        first part alone an array's count fell whenever its holder couldn't be asked. Its holder
-        reads only the parts of which the record may say more than it knows."""
-        done, name = records.count_done(record.chunk.done), record.spec.id
-        if record.spec.tasks <= records.CHUNK:
-            return done
+    async def _logged(self, shard: int, name: str) -> list[Logged]:
+        """What the shard's commit log says of a job beyond its record, if the shard has one."""
+        if not self.membership.writes_log(shard):
+            return []
+        return (await self.logs.read(shard)).of(name)
+
+    async def _count_done(
+        self, shard: int, record: JobRecord, changes: list[Logged], held: Job | None
+    ) -> int:
+        """How many tasks of a job have completed by its record and the log, all parts counted: by
+        the first part alone an array's count fell whenever its holder couldn't be asked. Its
+        holder reads only the parts of which the record may say more than it knows."""
+        name, parts = record.spec.id, {0: record.chunk.done}
+        if record.spec.tasks > records.CHUNK and held is None:
+            prefix = records.chunk_key(shard, name, None)
+            for entry in (await self.state.read(prefix))[0]:
+                parts[_number(entry)] = _done_part(entry)
+        elif held is not None:
+            for number in held.in_doubt - {0}:
+                key = records.chunk_key(shard, name, number)
+                if (part := await self.state.get(key, True)) is not None:
+                    parts[number] = _done_part(part)
+        bits = done_bits(parts, changes)
         if held is None:
-            parts, _ = await self.state.read(records.chunk_key(shard, name, None))
-            read = (msgspec.json.decode(e.value, type=records.DonePart) for e in parts)
-            return done + sum(records.count_done(part.done) for part in read)
-        done = held.finished - held.done_in(0) + done
-        for number in held.in_doubt - {0}:
-            entry = await self.state.get(records.chunk_key(shard, name, number), True)
-            if entry is not None:
-                part = msgspec.json.decode(entry.value, type=records.DonePart)
-                done += records.count_done(part.done) - held.done_in(number)
-        return done
+            return sum(one.bit_count() for one in bits.values())
+        # Both at once, after all reading: a commit in between was counted as undone in a part
+        # and not among all that had finished.
+        return held.finished + sum(held.unknown_done(number, one) for number, one in bits.items())
 
     async def _alone(self, body: bytes, name: str, method: str, shard: int) -> Response:
         if method == "SUBMIT":
@@ -386,5 +402,14 @@
             await curio.sleep(HEARD_LOOK_S)
 
 
+def _number(part: api.Entry) -> int:
+    """Which chunk of its job's record a part is."""
+    return int(part.key.rsplit("/", 1)[1])
+
+
+def _done_part(part: api.Entry) -> str:
+    return msgspec.json.decode(part.value, type=records.DonePart).done
+
+
 def final_status(name: str, state: str, done: int) -> api.JobStatus:
     return api.JobStatus(name, state, done, 0)
--- a/starlingdeck/coordination/writer.py
+++ b/starlingdeck/coordination/writer.py
@@ -6,23 +6,24 @@
 import msgspec
 
 from starlingdeck.coordination.admission import Durable, Grant
-from starlingdeck.coordination.job import Draft, Job, load_job
+from starlingdeck.coordination.group_commit import GroupCommit
+from starlingdeck.coordination.job import URGENT, Draft, Job
 from starlingdeck.coordination.jobs import JobShard
+from starlingdeck.coordination.loader import Loader
 from starlingdeck.coordination.world import World
 from starlingdeck.protocol import api
 from starlingdeck.storage import records
-from starlingdeck.storage.records import Chunk, FinalRecord, JobRecord
 from starlingdeck.storage.state import Conflict, StateClient, StateError, StateUnknown
 
 log = logging.getLogger(__name__)
 
 TXN_BYTES = 56 * 1024
 SPARE_BYTES = 200  # of a value, left free by starts
-URGENT = 2  # ranks from here on start as urgently as a submission is taken
 OVERDUE_S = 1.0  # (start) a record passed over for so long is as urgent as a start,
 OVERDUE_TURN = 3  # (start) in every third batch
 HALVED_S = 5.0  # (start) how soon half of what a team has written is forgotten
 TOGETHER_S = 0.05  # (start) how long a job's first start waits for those still being asked for
+LEAST_WAIT_S = 0.005  # before a commit is looked at again that the budget had no room for
 LOOK_S = 0.05  # while the budget has no room: how soon it is looked whether something urgent came
 
 
@@ -42,86 +43,16 @@
         self.spent: dict[int, float] = {}  # team -> changes lately
         self.halved_at = 0.0
         self.turn = 0
+        self.group = GroupCommit(world, state, shard, world.tuning.group_commit)
+        self.loader = Loader(world, state, shard, self.group.settle)
 
     async def load(self) -> None:
         """Read the shard's unfinished jobs after taking it over."""
-        shard = self.shard.shard
-        mains, _ = await self.state.read(f"j/{shard}/")
-        parts, _ = await self.state.read(f"t/{shard}/")
-        chunks: dict[str, dict[int, tuple[int, Chunk]]] = {}
-        broken: set[str] = set()  # of those nothing may run: what runs already isn't known
-        for entry in parts:
-            _, _, job, number = entry.key.split("/")
-            try:
-                value = msgspec.json.decode(entry.value, type=Chunk)
-                chunks.setdefault(job, {})[int(number)] = (entry.version, value)
-            except Exception as why:
-                self.world.set_aside("record", entry.key, why)
-                broken.add(job)
-        for entry in mains:
-            name = entry.key.rsplit("/", 1)[1]
-            if name in broken:
-                continue
-            try:
-                self._adopt(entry, chunks.get(name, {}))
-            except Exception as why:
-                self.world.set_aside("record", entry.key, why)
-        self.shard.loaded = True
-        log.info("shard %d: %d unfinished jobs read", shard, len(mains))
-
-    def _adopt(self, entry: api.Entry, parts: dict[int, tuple[int, Chunk]]) -> Job:
-        main = msgspec.json.decode(entry.value, type=JobRecord)
-        job = load_job(
-            self.world, self.shard.shard, main, {n: chunk for n, (_, chunk) in parts.items()}
-        )
-        job.versions = {0: entry.version, **{n: v for n, (v, _) in parts.items()}}
-        old = self.shard.jobs.get(job.index)
-        if old is not None:
-            # Keep what was seen of attempts that are still recorded.
-            for task, place in job.places.items():
-                before = old.places.get(task)
-                if before is not None and before.attempt == place.attempt:
-                    job.places[task] = before
-                    if task in old.ends:
-                        job.ends[task] = old.ends[task]
-            job.failed_on, job.errors = old.failed_on, old.errors
-            job.hold_until, job.avoid = old.hold_until, old.avoid
-            job.guaranteed = old.guaranteed
-            job.unsure = old.unsure and old.versions.get(0) == entry.version
-            if old.versions.get(0) == entry.version:
-                same = [n for n in old.in_doubt if old.versions.get(n) == job.versions.get(n)]
-                job.in_doubt = set(same)
-        self.shard.adopt(job)
-        return job
+        await self.loader.load()
 
     async def reload(self, name: str) -> Job | None:
         """Look again at a job whose record may have changed under us."""
-        shard = self.shard.shard
-        index = self.world.jobs.get(name)
-        before = self.shard.jobs.get(index) if index is not None else None
-        entry = await self.state.get(records.job_key(shard, name), True)
-        if entry is None:
-            final = await self.state.get(records.final_key(shard, name), True)
-            # Not one that was created while we looked.
-            if before is not None and self.shard.jobs.get(before.index) is before:
-                self.shard.forget(before.index)
-            if final is not None:
-                value = msgspec.json.decode(final.value, type=FinalRecord)
-                self.shard.keep_final(name, value.state, value.completed)
-            return None
-        try:
-            tasks = msgspec.json.decode(entry.value, type=JobRecord).spec.tasks
-            found: list[api.Entry] = []
-            if tasks > records.CHUNK:
-                found, _ = await self.state.read(records.chunk_key(shard, name, None))
-            parts = {
-                int(e.key.rsplit("/", 1)[1]): (e.version, msgspec.json.decode(e.value, type=Chunk))
-                for e in found
-            }
-            return self._adopt(entry, parts)
-        except (ValueError, LookupError, msgspec.DecodeError) as why:
-            self.world.set_aside("record", entry.key, why)
-            raise StateError("the job's record can't be read") from why
+        return await self.loader.reload(name)
 
     async def flush(self) -> bool:
         """One transaction's worth of changes; True when there may be more.
@@ -133,26 +64,88 @@
         async with self.lock:
             if self.lost or not self.shard.loaded:
                 return False
-            await self._reload_stale()
+            await self.group.settle()
+            await self.loader.reload_stale()
             for index in self.shard.unknown_cancels():
                 # Its user asked for it and may be told by whoever reads the record: until its
                 # fate is known, this shard's word ends where it was sent.
                 await self._write([self.shard.draft_cancel(self.shard.jobs[index])], True)
                 return True
             await self._settle()
+            due_s = self.group.due_s()
+            if due_s == 0.0 and self.state.writable(True)[0]:
+                return await self._commit_group()
             grant = self.gate.open(self.shard) if self.gate is not None else None
             batch, wait_s, urgent = self._batch(grant)
             if batch:
                 return await self._write(batch, urgent, grant)
+            if await self._tidy():
+                return True
+        if due_s is not None:
+            wait_s = min(wait_s, due_s) if wait_s > 0 else max(due_s, LEAST_WAIT_S)
         if wait_s > 0:
             await curio.sleep(min(wait_s, LOOK_S))
         return wait_s > 0
 
+    async def _commit_group(self) -> bool:
+        batch = self.group.collect()
+        if not batch.drafts:
+            return False
+        if not await self.group.commit(batch):
+            self.lost = True
+            return False
+        await self.loader.reload_stale()
+        return True
+
+    async def _tidy(self) -> bool:
+        """One write of what nobody waits for, if the budget has room for it: records rewritten so
+        that segments of the log come free, and keys deleted that nobody needs any more."""
+        room = min(self.state.writable(False)[0], self.world.settings.settings.state.txn_ops)
+        if room < 1:
+            return False
+        if self.group.checkpoint_due():
+            drafts = self._within_bytes(self.shard.draft_checkpoints(room))
+            if drafts:
+                return await self._write(drafts, False)
+        if keys := self.group.leftover(room):
+            await self.group.delete(keys)
+            return True
+        now = self.world.now()
+        parts = [key for key, due in self.shard.old_parts.items() if due <= now][:room]
+        if parts:
+            await self._delete_parts(parts)
+        return bool(parts)
+
+    @staticmethod
+    def _within_bytes(drafts: list[Draft]) -> list[Draft]:
+        """As many as a transaction holds; at least one."""
+        taken: list[Draft] = []
+        size = 0
+        for draft in drafts:
+            size += sum(len(msgspec.json.encode(change)) for change in draft.changes)
+            if taken and size > TXN_BYTES:
+                break
+            taken.append(draft)
+        return taken
+
+    async def _delete_parts(self, keys: list[str]) -> None:
+        """Parts of the records of ended arrays. Carried out late, it deletes what nobody has."""
+        holder = records.shard_key(self.shard.shard)
+        changes = [api.Change(delete=key) for key in keys]
+        try:
+            await self.state.txn({holder: self.shard.token}, changes)
+        except Conflict as fault:
+            log.info("shard %d: old parts not deleted: %s", self.shard.shard, fault)
+            return
+        for key in keys:
+            del self.shard.old_parts[key]
+
     async def cancel(self, job: Job) -> None:
         """Durable before it returns; raises StateError when it may not be."""
         async with self.lock:
+            await self.group.settle()
             if job.stale:
-                await self._reload_stale()
+                await self.loader.reload_stale()
             current = self.shard.jobs.get(job.index)
             if current is None or current.cancelled or current.final:
                 return
@@ -167,11 +160,7 @@
         except (StateError, Conflict) as why:
             # Starts that need units wait for it; nothing else does.
             log.info("shard %d: ledgers still in doubt: %r", self.shard.shard, why)
-        await self._reload_stale()
-
-    async def _reload_stale(self) -> None:
-        for job in [j for j in self.shard.jobs.values() if j.stale]:
-            await self.reload(job.id)
+        await self.loader.reload_stale()
 
     def _overdue(self, ready: list[Job], now: float) -> set[int]:
         """Of the jobs to be written, those to be taken before the urgent ones this time.
@@ -195,7 +184,11 @@
         changes, size = 0, 0
         allowed = 4 * most  # conditions, by PROTOCOL
         ready = sorted(
-            (self.shard.jobs[i] for i in self.shard.dirty if i in self.shard.jobs),
+            (
+                self.shard.jobs[i]
+                for i in self.shard.dirty
+                if i in self.shard.jobs and not self.group.by_log(self.shard.jobs[i])
+            ),
             key=lambda j: (
                 not (j.needs and j.ends),  # they give units back that others wait for
                 not (j.starts and j.spec.rank >= URGENT),
@@ -266,18 +259,19 @@
         """
         limit = self.world.settings.settings.state.value_kb * 1000
         # The ledgers of its counts need room in the same transaction.
-        draft, size = self.shard.draft(job, 1 if job.needs else 3), 0
+        starting = self.group.may_start()
+        draft, size = self.shard.draft(job, 1 if job.needs else 3, starting), 0
         while draft is not None:
             sizes = [len(msgspec.json.encode(c)) for c in draft.changes]
             size = sum(sizes)
             if size > TXN_BYTES and len(draft.chunks) > 1:
-                draft = self.shard.draft(job, len(draft.chunks) - 1)
+                draft = self.shard.draft(job, len(draft.chunks) - 1, starting)
             elif draft.starts and max(sizes) > limit - SPARE_BYTES:
                 # What an end or a cancellation adds must still fit later.
                 for task in list(draft.starts)[len(draft.starts) // 2 :]:
                     del job.starts[task]
                     job.retry_at[task] = self.world.now() + 1.0
-                draft = self.shard.draft(job, len(draft.chunks))
+                draft = self.shard.draft(job, len(draft.chunks), starting)
             elif max(sizes) > limit + SPARE_BYTES:
                 raise ValueError(f"a record of {max(sizes)} bytes, of {limit:.0f} allowed")
             else:
@@ -313,7 +307,7 @@
                 if any(key in fault.failed for key in draft.conditions):
                     draft.job.stale = True
             again = grant is not None and await grant.refused(fault.failed)
-            await self._reload_stale()
+            await self.loader.reload_stale()
             return again
         except StateUnknown:
             # It may have been executed, or may yet be: the next write's condition decides.
--- a/starlingdeck/protocol/settings.py
+++ b/starlingdeck/protocol/settings.py
@@ -122,6 +122,13 @@
     gathers: Amount = 8  # (start) tasks at once, at each controller, that machines are kept for
 
 
+class GroupCommitSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Section `group_commit`: starts and ends are written together (docs/group-commit.md)."""
+
+    interval_s: Positive = 0.5  # (start) how long a start or an end waits for others
+    urgent_s: Positive = 0.1  # (start) and a start of the two upper ranks
+
+
 class Tuning(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Operators' own settings. Values marked (start) are our starting values."""
 
@@ -144,6 +151,7 @@
     stall_s: Positive = 10.0  # (start) a half-sent request ends after this
     counts: CountSettings | None = None
     overload: OverloadSettings | None = None
+    group_commit: GroupCommitSettings | None = None
 
 
 class Fault(Exception):
--- a/starlingdeck/storage/records.py
+++ b/starlingdeck/storage/records.py
@@ -8,6 +8,7 @@
 j/SHARD/JOB     an unfinished job with its first tasks
 t/SHARD/JOB/C   further tasks of a large job
 f/SHARD/JOB     the final state of a job, for ever
+w/SHARD/N       a segment of a shard's commit log (storage.commit_log)
 c/q/TEAM        how a team's limit is split over the shards
 c/u/COUNT       a count's ceiling, and how many units each shard holds
 u/COUNT/N       the Nth change that an operator made to a count
@@ -32,17 +33,25 @@
 TYPES = "m/types"
 
 
+# Of a commit: the token under which its writer took the shard, and a number from then on.
+Position = tuple[int, int]
+LOG_START: Position = (0, 0)  # before every commit; what no log was written over
+Placement = tuple[int, int, str, int, str]  # task, attempt, machine, session, zone
+
+
 class NodeValue(msgspec.Struct):
     node: int
     boot: int
 
 
 class ShardValue(msgspec.Struct, omit_defaults=True):
-    """`quiet_ms`: the time of day from which no former holder renews workers' leases any more."""
+    """`quiet_ms`: the time of day from which no former holder renews workers' leases any more.
+    `logged`: records may be behind the shard's commit log."""
 
     node: int
     gen: int
     quiet_ms: int = 0
+    logged: bool = False
 
 
 class RelayPart(msgspec.Struct):
@@ -54,11 +63,13 @@
 
 
 class Chunk(msgspec.Struct, omit_defaults=True):
-    """Tasks CHUNK*c … of a job: attempts used, which are done, where the others are."""
+    """Tasks CHUNK*c … of a job: attempts used, which are done, where the others are.
+    `upto`: it holds all that the shard's commit log says up to there."""
 
     tries: list[int] = []
     done: str = ""
-    on: list[tuple[int, int, str, int, str]] = []  # task, attempt, machine, session, zone
+    on: list[Placement] = []
+    upto: Position = LOG_START
 
 
 class JobRecord(msgspec.Struct, omit_defaults=True):
@@ -102,6 +113,19 @@
     return f"j/{shard}/{job}"
 
 
+def job_prefix(shard: int) -> str:
+    return f"j/{shard}/"
+
+
+def chunk_prefix(shard: int) -> str:
+    return f"t/{shard}/"
+
+
+def chunks_of(tasks: int) -> int:
+    """How many chunks the record of a job of so many tasks has at the most."""
+    return -(-tasks // CHUNK)
+
+
 def chunk_key(shard: int, job: str, chunk: int | None) -> str:
     """Of one part; without a number, what the keys of all parts begin with."""
     return f"t/{shard}/{job}/" + ("" if chunk is None else f"{chunk:04d}")
@@ -146,10 +170,6 @@
     return f"{bits:x}" if bits else ""
 
 
-def count_done(text: str) -> int:
-    return int(text or "0", 16).bit_count()
-
-
 def unpack_done(text: str) -> list[int]:
     bits, found, i = int(text, 16) if text else 0, [], 0
     while bits:
