--- a/starlingdeck/coordination/log_reader.py
+++ b/starlingdeck/coordination/log_reader.py
@@ -23,27 +23,26 @@
     that is not in there.
     """
 
-    def __init__(self, state: StateClient) -> None:
-        self.state = state
+    def __init__(self) -> None:
         self.next: dict[int, Reading] = {}  # shard -> a reading that has not begun
         self.busy: dict[int, curio.Lock] = {}
 
-    async def read(self, shard: int) -> LogView:
+    async def read(self, state: StateClient, shard: int) -> LogView:
         """Raises StateError when it can't be read."""
         reading = self.next.get(shard)
         if reading is None:
             reading = self.next[shard] = Reading()
-            await curio.spawn(self._read, shard, reading, daemon=True)
+            await curio.spawn(self._read, state, shard, reading, daemon=True)
         await reading.ended.wait()
         if reading.view is None:
             raise StateError(reading.fault)
         return reading.view
 
-    async def _read(self, shard: int, reading: Reading) -> None:
+    async def _read(self, state: StateClient, shard: int, reading: Reading) -> None:
         async with self.busy.setdefault(shard, curio.Lock()):
             del self.next[shard]
             try:
-                entries, _ = await self.state.read(log_prefix(shard))
+                entries, _ = await state.read(log_prefix(shard))
                 reading.view = read_segments(entries)
             except (StateError, msgspec.DecodeError) as fault:
                 reading.fault = str(fault)
--- a/starlingdeck/coordination/node.py
+++ b/starlingdeck/coordination/node.py
@@ -24,7 +24,7 @@
 from starlingdeck.coordination.sights import Sight
 from starlingdeck.coordination.users import Users, fault
 from starlingdeck.coordination.world import World
-from starlingdeck.coordination.writer import Writer
+from starlingdeck.coordination.writer import IDLE_S, Writer
 from starlingdeck.protocol import api
 from starlingdeck.protocol import peer_pb2 as pb
 from starlingdeck.protocol.settings import split_address
@@ -577,7 +577,8 @@
 
     async def write_loop(self) -> None:
         while True:
-            async with curio.ignore_after(0.25):
+            idle_s = min((w.idle_s for w in self.writers.values()), default=IDLE_S)
+            async with curio.ignore_after(idle_s):
                 await self.flush.wait()
             self.flush.clear()
             for writer in list(self.writers.values()):
--- a/starlingdeck/coordination/users.py
+++ b/starlingdeck/coordination/users.py
@@ -85,7 +85,7 @@
         self.writers = writers
         self.admission = admission
         self.kick = kick
-        self.logs = LogReader(state)
+        self.logs = LogReader()
         self.busy = 0
 
     async def handle(self, request: Request) -> Response:
@@ -319,7 +319,7 @@
         """What the shard's commit log says of a job beyond its record, if the shard has one."""
         if not self.membership.writes_log(shard):
             return []
-        return (await self.logs.read(shard)).of(name)
+        return (await self.logs.read(self.state, shard)).of(name)
 
     async def _count_done(
         self, shard: int, record: JobRecord, changes: list[Logged], held: Job | None
--- a/starlingdeck/coordination/writer.py
+++ b/starlingdeck/coordination/writer.py
@@ -23,6 +23,7 @@
 OVERDUE_TURN = 3  # (start) in every third batch
 HALVED_S = 5.0  # (start) how soon half of what a team has written is forgotten
 TOGETHER_S = 0.05  # (start) how long a job's first start waits for those still being asked for
+IDLE_S = 0.25  # how long it is at the most until the next flush
 LEAST_WAIT_S = 0.005  # before a commit is looked at again that the budget had no room for
 LOOK_S = 0.05  # while the budget has no room: how soon it is looked whether something urgent came
 
@@ -43,6 +44,7 @@
         self.spent: dict[int, float] = {}  # team -> changes lately
         self.halved_at = 0.0
         self.turn = 0
+        self.idle_s = IDLE_S  # how long until something is due that nothing will announce
         self.group = GroupCommit(world, state, shard, world.tuning.group_commit)
         self.loader = Loader(world, state, shard, self.group.settle)
 
@@ -81,8 +83,7 @@
                 return await self._write(batch, urgent, grant)
             if await self._tidy():
                 return True
-        if due_s is not None:
-            wait_s = min(wait_s, due_s) if wait_s > 0 else max(due_s, LEAST_WAIT_S)
+        self.idle_s = max(due_s, LEAST_WAIT_S) if due_s is not None else IDLE_S
         if wait_s > 0:
             await curio.sleep(min(wait_s, LOOK_S))
         return wait_s > 0
--- a/tests/build.py
+++ b/tests/build.py
@@ -1,5 +1,6 @@
 """Builds the small worlds that tests use. No clock, no network: time is a number."""
 
+import os
 import random
 from typing import Any
 
@@ -7,7 +8,11 @@
 
 from starlingdeck.coordination.world import World
 from starlingdeck.protocol.api import JobSpec, MachineType
-from starlingdeck.protocol.settings import Settings, Tuning
+from starlingdeck.protocol.settings import GroupCommitSettings, Settings, Tuning
+
+LOGGED = Tuning(group_commit=GroupCommitSettings())
+# Of the worlds that are made from then on. With GROUP_COMMIT=1 the whole suite plays with the log.
+tuning = LOGGED if os.environ.get("GROUP_COMMIT") else Tuning()
 
 
 class Clock:
@@ -62,7 +67,7 @@
         raw["host_name"], raw["zone"], raw["cluster_listen"] = own
         raw["peers"] = [{"host_name": n, "zone": z, "address": a} for n, z, a in names]
         settings = msgspec.convert(raw, Settings)
-    world = World(settings, Tuning(), clock.now, clock.wall_ms, random.Random(seed))
+    world = World(settings, tuning, clock.now, clock.wall_ms, random.Random(seed))
     world.learn_types(
         [MachineType("small", 4.0, 16.0, ["a", "b"]), MachineType("big", 16.0, 64.0, ["a", "b"])]
     )
