--- /dev/null
+++ b/tests/test_group_commit.py
@@ -0,0 +1,128 @@
+"""The plain worlds of the rules and of meetings of troubles, with the commit log switched on."""
+
+from typing import Any
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from starlingdeck.coordination import commit_log as ring_module
+from starlingdeck.coordination.users import Users
+from starlingdeck.storage.commit_log import LOG
+from tests import build
+from tests.meeting import Deck, play
+from tests.model import Broken, Model
+from tests.test_close_questions import ask_all, staggered
+from tests.test_meetings import (
+    MEETINGS,
+    PLACES,
+    STEPS,
+    WORLDS,
+    live_meeting,
+    live_through,
+    of_shard,
+    start_trouble,
+)
+
+Patch = pytest.MonkeyPatch
+
+
+@pytest.fixture(autouse=True)
+def logged(monkeypatch: Patch) -> None:
+    monkeypatch.setattr(build, "tuning", build.LOGGED)
+
+
+def small_ring(monkeypatch: Patch) -> None:
+    """So that slots are used again, and records rewritten for it, within a short play."""
+    monkeypatch.setattr(ring_module, "SLOTS", 8)
+    monkeypatch.setattr(ring_module, "CHECKPOINT_AT", 3)
+    monkeypatch.setattr(ring_module, "RESERVED", 2)
+    monkeypatch.setattr(ring_module, "SEGMENT_BYTES", 200)
+
+
+@pytest.mark.parametrize("first", [100, 110])
+def test_the_rules_hold_whatever_is_lost_or_late(monkeypatch: Patch, first: int) -> None:
+    small_ring(monkeypatch)
+    starts, segments = 0, 0
+    for seed in range(first, first + 10):
+        model = Model(seed, trouble=0.15)
+        for _ in range(1500):
+            model.step()
+        starts += model.starts
+        segments += sum(key.startswith(LOG) for key in model.state.keys)
+    assert starts > 60 and segments > 60
+
+
+@pytest.mark.parametrize("meeting", [name for n, name in enumerate(MEETINGS) if n % 4 == 1])
+def test_meeting(monkeypatch: Patch, meeting: str) -> None:
+    small_ring(monkeypatch)
+    deck = Deck(7, **WORLDS.get(meeting, {}))
+    deck.crowded = meeting.startswith("more work than room")
+    play(monkeypatch, deck, live_meeting(deck, MEETINGS[meeting]))
+    assert any(key.startswith(LOG) for key in deck.state.keys)
+
+
+@settings(derandomize=True, max_examples=10, deadline=None)
+@given(
+    seed=st.integers(0, 1 << 16),
+    place=st.sampled_from(PLACES),
+    steps=st.lists(STEPS, min_size=3, max_size=8),
+)
+def check_meetings(
+    monkeypatch: Patch, seed: int, place: dict[str, Any], steps: list[tuple[str, int, float]]
+) -> None:
+    deck = Deck(seed, **place)
+    play(monkeypatch, deck, live_through(deck, steps))
+
+
+def test_no_rule_breaks_where_troubles_meet(monkeypatch: Patch) -> None:
+    small_ring(monkeypatch)
+    check_meetings(monkeypatch)
+
+
+@pytest.mark.parametrize("trouble", ["lost", "slow"])
+def test_no_count_falls_while_a_commit_is_under_way(monkeypatch: Patch, trouble: str) -> None:
+    """Others answer from the record and the log while the holder's commit has no answer yet."""
+    deck = Deck(3)
+    counts = []
+
+    async def drive() -> None:
+        name = of_shard(0)
+        await staggered(deck, name)
+        start_trouble(deck, "apart", 0)
+        deck.clients[0].lost = float(trouble == "lost")
+        deck.clients[0].slow_s = 2.0
+        for _ in range(80):
+            await deck.beside(ask_all, deck, name)
+            await deck.run(0.1)
+            counts.append(deck.done.get(name, 0))
+        deck.calm()
+
+    play(monkeypatch, deck, drive())
+    assert counts[0] < counts[-1]
+
+
+def test_others_do_not_tell_what_the_record_alone_says(monkeypatch: Patch) -> None:
+    """Commits are ahead of the record: by that alone the count fell as soon as the holder was
+    away. The plain world sees it when the log is passed over."""
+
+    async def nothing(*_: Any) -> list[Any]:
+        return []
+
+    deck = Deck(5)
+
+    async def drive() -> None:
+        name = of_shard(0)
+        await staggered(deck, name)
+        await deck.run(4.0)
+        await ask_all(deck, name)
+        assert deck.done[name] > 0
+        start_trouble(deck, "apart", 0)
+        await ask_all(deck, name)
+        with monkeypatch.context() as patch:
+            patch.setattr(Users, "_logged", nothing)
+            with pytest.raises(Broken, match="went_back"):
+                await ask_all(deck, name)
+        deck.calm()
+
+    play(monkeypatch, deck, drive())
--- /dev/null
+++ b/tests/test_scale.py
@@ -0,0 +1,377 @@
+"""The scale run: its checker, its plans, and the stand-ins that it plays against."""
+
+from pathlib import Path
+from typing import Any
+
+import curio
+import msgspec
+import pytest
+
+from standins import workload
+from standins.agent import Agent, Identity
+from standins.hollow import Host, HostConfig, Machine, Start
+from standins.limits import Rate, StateLimits
+from standins.scale import report as reports
+from standins.scale.checker import Checker
+from standins.scale.plan import DEFAULT, Plan, Rung, Trouble, beyond, load
+from standins.scale.troubles import Sample, longest_gap, recovery
+from standins.state import State
+from starlingdeck.protocol import api
+from starlingdeck.protocol.settings import Fault
+from starlingdeck.transport.server import Request
+
+JOB = workload.job_id(workload.ARRAY, 7, 10.0, 1)
+TASK = f"{JOB}/0"
+
+# --- the checker
+
+STORIES: list[tuple[str, list[str], str]] = [
+    ("one machine", ["1 on T vm-1", "2 done T vm-1"], ""),
+    ("twice", ["1 on T vm-1", "2 on T vm-2"], "ran_twice"),
+    ("told out of order", ["2 on T vm-2", "1 on T vm-1"], "ran_twice"),
+    ("after its end", ["1 on T vm-1", "3 on T vm-2", "2 off T vm-1"], ""),
+    ("its machine is gone", ["1 on T vm-1", "2 gone - vm-1", "3 on T vm-2"], ""),
+    ("another machine is gone", ["1 on T vm-1", "2 gone - vm-3", "3 on T vm-2"], "ran_twice"),
+    ("over the limit", ["1 on T vm-1", "2 on U vm-1", "3 on V vm-2"], "quota"),
+    ("within the limit", ["1 on T vm-1", "2 on U vm-1", "3 off T vm-1", "4 on V vm-2"], ""),
+]
+
+
+def checker() -> Checker:
+    return Checker(cancel_s=40.0, team_cpus_max=2.0)
+
+
+@pytest.mark.parametrize(("lines", "rule"), [s[1:] for s in STORIES], ids=[s[0] for s in STORIES])
+def test_what_workers_tell_is_held_against_the_rules(lines: list[str], rule: str) -> None:
+    checked = checker()
+    names = {"T": TASK, "U": f"{JOB}/1", "V": f"{JOB}/2", "-": "-"}
+    for line in lines:
+        at, what, task, machine = line.split()
+        checked.hear(f"{at} {what} {names[task]} {machine}")
+    checked.judge(100.0)
+    assert [one.rule for one in checked.broken] == ([rule] if rule else [])
+    if rule:
+        text = str(checked.broken[0])
+        assert JOB in text and "vm-" in text
+
+
+@pytest.mark.parametrize(
+    ("gone_at", "starts_at", "rules", "late"),
+    [
+        (30.0, None, [], 0),
+        (60.0, None, ["ran_cancelled"], 0),
+        (5.0, 20.0, ["ran_cancelled"], 1),  # it runs on for too long
+        (5.0, 51.0, ["ran_cancelled"], 1),
+    ],
+)
+def test_a_cancelled_job_is_gone_in_time(
+    gone_at: float, starts_at: float | None, rules: list[str], late: int
+) -> None:
+    checked = checker()
+    checked.hear(f"1 on {TASK} vm-1")
+    checked.told_cancelled(JOB, 10.0)
+    checked.hear(f"{gone_at} off {TASK} vm-1")
+    if starts_at is not None:
+        checked.hear(f"{starts_at} on {TASK} vm-2")
+    checked.judge(100.0)
+    assert [one.rule for one in checked.broken] == rules and len(checked.late) == late
+
+
+@pytest.mark.parametrize(("done_at", "rules"), [(9.0, []), (11.0, ["not_done"])])
+def test_a_job_is_called_done_after_its_tasks(done_at: float, rules: list[str]) -> None:
+    """What the user heard may come to the checker before what the worker tells."""
+    checked = checker()
+    checked.told_done(JOB, 1, 10.0)
+    checked.hear(f"1 on {TASK} vm-1")
+    checked.hear(f"{done_at} done {TASK} vm-1")
+    checked.judge(100.0)
+    assert [one.rule for one in checked.broken] == rules
+
+
+def host(broken: bool = False) -> Host:
+    config = HostConfig("", "", 20, 9000, {"n-0": "127.0.0.1:1"}, 1.0, 10.0, 0.1, 1, broken)
+    made = Host(config)
+    for number in range(2):
+        asked = Start(f"vm-{number}", "hollow", "a", False, 2)
+        made.machines[asked.name] = Machine(made, asked, "127.0.0.1:2")
+    return made
+
+
+def go_on(made: Host) -> None:
+    """All timers, however far off."""
+    while made.timers:
+        made.timers.sort()
+        made.timers.pop(0)[2]()
+
+
+@pytest.mark.parametrize("broken", [False, True])
+def test_a_worker_that_runs_tasks_twice_is_seen(broken: bool) -> None:
+    """The whole way from a command to the rule; the other half shows that the checker can fail."""
+    made = host(broken)
+    machine = made.machines["vm-0"]
+    orders = api.Commands(3, 1, [api.Command(api.START, TASK, 1)])
+    actions = machine.agent.command(orders)
+    assert actions is not None
+    machine.act(actions)
+    go_on(made)
+    checked = checker()
+    for line in made.lines:
+        checked.hear(line)
+    checked.judge(1e12)
+    assert [one.rule for one in checked.broken] == (["ran_twice"] if broken else [])
+    assert checked.starts == 1 and checked.finished == {TASK}
+
+
+# --- hollow workers follow the protocol
+
+START, STOP, FORGET = api.START, api.STOP, api.FORGET
+COMMANDS: list[tuple[str, list[tuple[str, int]], list[tuple[int, str, str | None]]]] = [
+    ("start", [(START, 1)], [(1, "fetching", None)]),
+    ("repeated", [(START, 1), (START, 1)], [(1, "fetching", None)]),
+    ("another attempt while it runs", [(START, 1), (START, 2)], [(1, "fetching", None)]),
+    ("stopped", [(START, 1), (STOP, 1)], [(1, "exited", "halted")]),
+    ("another attempt after", [(START, 1), (STOP, 1), (START, 2)], [(2, "fetching", None)]),
+    ("the former attempt stopped", [(START, 1), (STOP, 0)], [(1, "fetching", None)]),
+    ("forgotten", [(START, 1), (STOP, 1), (FORGET, 1)], []),
+    ("not forgotten while it runs", [(START, 1), (FORGET, 1)], [(1, "fetching", None)]),
+]
+
+
+def agent(slots: int = 1) -> Agent:
+    return Agent(Identity("vm-1", "127.0.0.1:1", "t", "a"), 0.0, lambda _, live: live < slots)
+
+
+@pytest.mark.parametrize(
+    ("commands", "left"), [c[1:] for c in COMMANDS], ids=[c[0] for c in COMMANDS]
+)
+def test_commands(commands: list[tuple[str, int]], left: list[tuple[int, str, str | None]]) -> None:
+    one = agent()
+    one.execute([api.Command(op, TASK, attempt) for op, attempt in commands])
+    assert [(t.attempt, t.state, t.why) for t in one.tasks.values()] == left
+
+
+def test_a_full_machine_refuses_and_says_so() -> None:
+    one = agent()
+    other = f"{JOB}/1"
+    one.execute([api.Command(START, TASK, 1), api.Command(START, other, 1)])
+    assert one.tasks[other].why == "full"
+
+
+@pytest.mark.parametrize(
+    ("token", "session", "taken"), [(5, 1, True), (6, 1, True), (4, 1, False), (5, 2, False)]
+)
+def test_tokens_and_sessions(token: int, session: int, taken: bool) -> None:
+    one = agent()
+    one.token = 5
+    start = [api.Command(START, TASK, 1)]
+    assert (one.command(api.Commands(token, session, start)) is not None) == taken
+    assert bool(one.tasks) == taken
+    two = agent()
+    two.token = 5
+    assert (two.answered_report(api.ReportReply(token, start), session, 9.0) is not None) == taken
+    assert two.answered == (9.0 if taken else 0.0)
+
+
+def test_a_lease_that_is_over_ends_the_session_and_all_tasks() -> None:
+    one = agent()
+    one.execute([api.Command(START, TASK, 1)])
+    assert one.expire(10.0, 10.0) == [] and one.session == 1
+    assert one.expire(10.1, 10.0) == [TASK] and one.session == 2 and not one.tasks
+    tally = one.report().seq
+    assert one.report().seq == tally + 1
+
+
+# --- plans
+
+FAULTS: list[tuple[str, list[str]]] = [
+    ("[[rungs]]\nworkers = 5\nworker = 3\n", ["rungs[0]: unknown key 'worker'"]),
+    ("[[rungs]]\nworkers = 5\nstarts_per_s = -1.0\n", ["rungs[0].starts_per_s"]),
+    ("speed = 3\nseconds = 0\n[[rungs]]\n", ["seconds", "unknown key 'speed'", "rungs[0].workers"]),
+    ("rungs = []\n", ["rungs: at least one"]),
+    ("warmup_s = 50.0\n[[rungs]]\nworkers = 5\n", ["warmup_s: less than seconds"]),
+    ("[[rungs]]\nworkers = 5\n[[troubles]]\nat_s = 1.0\nkind = 'x'\n", ["troubles[0].kind"]),
+    ("[users]\nteams = 2000\n[[rungs]]\nworkers = 5\n", ["users.teams: at most 999"]),
+    ("[[rungs]]\nworkers = 90000\ncontrollers = 9\n", ["over half of", "sockets in a process"]),
+    ("per_process = 1\n[[rungs]]\nworkers = 900\n", ["processes, over"]),
+]
+
+
+@pytest.mark.parametrize(("text", "faults"), FAULTS)
+def test_a_bad_plan_is_refused_with_all_its_faults(
+    tmp_path: Path, text: str, faults: list[str]
+) -> None:
+    path = tmp_path / "plan.toml"
+    path.write_text(text)
+    with pytest.raises(Fault) as fault:
+        load(path)
+    told = "\n".join(fault.value.lines)
+    assert all(one in told for one in faults), told
+
+
+def test_the_plans_that_are_there_can_be_played() -> None:
+    assert load(None) is DEFAULT
+    plans = sorted(Path(__file__).parent.parent.joinpath("deploy", "scale").glob("*.toml"))
+    assert plans
+    for path in plans:
+        plan = msgspec.toml.decode(path.read_bytes(), type=Plan)
+        assert not beyond(plan, 24 * 1024.0, 20_000), path
+
+
+# --- what is measured
+
+
+def test_recovery_is_read_off_the_samples() -> None:
+    starts = [0, 1, 2, 3, 3, 3, 3, 4, 5, 6]
+    running = [10, 10, 10, 5, 5, 6, 8, 9, 10, 10]
+    samples = [Sample(float(i), r, s) for i, (r, s) in enumerate(zip(running, starts, strict=True))]
+    found = recovery(Trouble(3.0, "rack"), 3.0, 0.0, samples)
+    assert (found.running_before, found.running_least, found.again_s, found.gap_s) == (10, 5, 5, 3)
+    assert recovery(Trouble(8.5, "rack"), 8.5, 0.0, samples).again_s == 0.0
+    assert longest_gap(samples, 5.0) == 2.0
+
+
+def row(**other: Any) -> reports.Row:
+    empty = {f.name: f.type for f in msgspec.structs.fields(reports.Row)}
+    values: dict[str, Any] = {name: 0 for name in empty}
+    values |= {"name": "r", "controller_cores": [0.1], "host_cores": [0.1], "state_puts": {}}
+    values |= {"waits": {}, "broken": [], "recoveries": [], "limited_by": []}
+    values |= {"unanswered_jobs": [], "starts": 10.0, "state_changes": 5.0}
+    return reports.Row(**(values | other))
+
+
+@pytest.mark.parametrize(
+    ("fields", "limits"),
+    [
+        ({}, []),
+        ({"controller_cores": [0.2, 0.95]}, ["controllers"]),
+        ({"state_changes": 145.0}, ["changes of the state service"]),
+        ({"late_ticks": 0.2}, ["hollow workers (generator)"]),
+    ],
+)
+def test_what_limits_is_named(fields: dict[str, Any], limits: list[str]) -> None:
+    assert reports.limits_of(row(**fields), 150.0) == limits
+
+
+@pytest.mark.parametrize(
+    ("fields", "failed"),
+    [({}, False), ({"broken": ["x"]}, True), ({"unanswered_jobs": ["j"]}, True)],
+)
+def test_a_summary_says_what_broke(fields: dict[str, Any], failed: bool) -> None:
+    text = "\n".join(reports.summary(row(**fields)))
+    assert reports.failed(row(**fields)) == failed
+    assert ("no rule broken" in text) != failed and "0.50 changes" in text
+
+
+# --- the state service refuses what the protocol refuses
+
+
+def post(state: State, conditions: dict[str, int], changes: list[dict[str, Any]]) -> int:
+    when = [{"k": key, "stamp": version} for key, version in conditions.items()]
+    body = msgspec.json.encode({"when": when, "apply": changes})
+    reply = curio.run(state.handle, Request("POST", api.TXN, body))
+    return int(reply.status)
+
+
+def puts(many: int, size: int = 1, prefix: str = "a/") -> list[dict[str, Any]]:
+    return [{"set": f"{prefix}{i:05d}", "value": "x" * size} for i in range(many)]
+
+
+@pytest.mark.parametrize(
+    ("limits", "conditions", "changes", "status"),
+    [
+        (StateLimits(), 0, puts(50), 200),
+        (StateLimits(txn_ops=12), 0, puts(12), 200),
+        (StateLimits(txn_ops=12), 0, puts(13), 400),
+        (StateLimits(txn_ops=12), 48, puts(1), 200),
+        (StateLimits(txn_ops=12), 49, puts(1), 400),
+        (StateLimits(value_kb=1), 0, puts(1, 1000), 200),
+        (StateLimits(value_kb=1), 0, puts(1, 1100), 400),
+        (StateLimits(), 0, puts(5, 14_000), 400),
+        (StateLimits(write_rps=10), 0, puts(10), 200),
+        (StateLimits(write_rps=10), 0, puts(11), 429),
+    ],
+)
+def test_limits_of_a_transaction(
+    limits: StateLimits, conditions: int, changes: list[dict[str, Any]], status: int
+) -> None:
+    state = State(limits)
+    assert post(state, {f"c/{i}": 0 for i in range(conditions)}, changes) == status
+    assert bool(state.keys) == (status == 200)
+
+
+def test_requests_over_the_rate_are_refused_and_counted() -> None:
+    state = State(StateLimits(rps=3))
+    found = [curio.run(state.handle, Request("GET", f"{api.KV}/a", b"")).status for _ in range(5)]
+    assert found == [404, 404, 404, 429, 429] and state.stats.over_rate == 2
+
+
+def test_a_rate_allows_a_burst_worth_its_seconds() -> None:
+    rate = Rate(5.0, 2.0)
+    assert [rate.take() for _ in range(11)] == [True] * 10 + [False]
+
+
+def test_lists_come_in_pages_by_count_and_by_bytes() -> None:
+    state = State(StateLimits())
+    for first in range(0, 1500, 50):
+        changes = [{"set": f"a/{first + i:05d}", "value": 1} for i in range(50)]
+        assert post(state, {}, changes) == 200
+    assert post(state, {}, puts(60, 1000, "b/")) == 200
+    for number in range(11):
+        pages = puts(60, 1000, f"b/{number:02d}")
+        assert post(state, {}, pages) == 200
+
+    def page(query: str) -> api.Entries:
+        reply = curio.run(state.handle, Request("GET", f"{api.KV}?{query}", b""))
+        return msgspec.json.decode(reply.body, type=api.Entries)
+
+    first_page = page("prefix=a/")
+    assert len(first_page.items) == 1000 and first_page.more
+    rest = page(f"prefix=a/&after={first_page.items[-1].key}")
+    assert len(rest.items) == 500 and not rest.more
+    large = page("prefix=b/")
+    assert large.more and 400 < len(large.items) < 700
+
+
+def test_a_condition_that_fails_changes_nothing() -> None:
+    state = State(StateLimits())
+    assert post(state, {"a/00000": 0}, puts(1)) == 200
+    assert post(state, {"a/00000": 0}, puts(2)) == 409
+    assert len(state.keys) == 1 and state.stats.refused == 1
+
+
+def test_keys_go_with_their_lease_and_watchers_hear_of_it() -> None:
+    state = State(StateLimits())
+
+    async def drive() -> tuple[int, list[str | None]]:
+        ask = Request("POST", api.LEASES, msgspec.json.encode({"life_ms": 100}))
+        lease = msgspec.json.decode((await state.handle(ask)).body)["permit"]
+        changes = [{"set": "c/n", "value": 1, "permit": lease}]
+        body = msgspec.json.encode({"when": [], "apply": changes})
+        await state.handle(Request("POST", api.TXN, body))
+        lapse = await curio.spawn(state.lapse, daemon=True)
+        query = f"{api.WATCH}?prefix=c/&after={state.epoch}&block_ms=3000"
+        told = msgspec.json.decode((await state.handle(Request("GET", query, b""))).body)
+        await lapse.cancel()
+        return len(state.keys), [e.get("delete") for e in told["events"]]
+
+    assert curio.run(drive) == (0, ["c/n"])
+
+
+# --- the workload
+
+
+@pytest.mark.parametrize("kind", [workload.ARRAY, workload.SERVICE, workload.ONE_TASK])
+def test_an_id_says_what_its_job_is(kind: int) -> None:
+    name = workload.job_id(kind, 339, 12.5, 42)
+    assert api.JOB_ID.fullmatch(name)
+    told = workload.describe(name)
+    assert (told.kind, told.team, told.service) == (kind, 339, kind == workload.SERVICE)
+    if not told.service:
+        runs = [workload.run_s(f"{name}/{i}") for i in range(200)]
+        assert 12.5 * 0.7 <= min(runs) < max(runs) <= 12.5 * 1.3
+        assert runs == [workload.run_s(f"{name}/{i}") for i in range(200)]
+
+
+def test_rungs_ask_for_as_much_as_their_workers_hold() -> None:
+    plan = Plan([Rung(100), Rung(100, starts_per_s=7.0)])
+    assert [plan.starts(rung) for rung in plan.rungs] == [30.0, 7.0]
