--- a/scripts/scale.py
+++ b/scripts/scale.py
@@ -5,6 +5,7 @@
 no rule broken and every job answered for; 1: something was; 2: a plan that can't be played.
 """
 
+import logging
 import signal
 import sys
 import time
@@ -40,6 +41,8 @@
         for text in fault.lines:
             click.echo(text, err=True)
         sys.exit(2)
+    # curio warns whenever a wait ends in the same instant as its timeout.
+    logging.getLogger("curio").setLevel(logging.ERROR)
     # The rungs' processes end with this one, also when it is told to end.
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(143))
     told = reports.Report(plan=wanted)
