Names of the field: quota transfer, quarantine, failure attribution

gifts, aside and blame renamed with their modules, classes and attributes; log lines and stored keys stay. No change of behaviour; the tests of these parts pass.

--- a/starlingdeck/coordination/blame.py
+++ b/starlingdeck/coordination/failure_attribution.py
@@ -11,7 +11,7 @@
 FEW_SICK = 0.1  # (start) of the machines: more aren't called sick by jobs of which nothing is known
 
 
-class Blame:
+class FailureAttribution:
     """Of one machine shard: errors by machine since its last success, and what jobs are like.
 
     Three errors in a row of a job that had failed on no third machine made a machine sick. Thirty
--- a/starlingdeck/coordination/job.py
+++ b/starlingdeck/coordination/job.py
@@ -6,7 +6,7 @@
 
 from msgspec import Struct, field
 
-from starlingdeck.coordination import blame
+from starlingdeck.coordination import failure_attribution
 from starlingdeck.coordination.shards import machine_shard
 from starlingdeck.coordination.world import Size, World, size_of
 from starlingdeck.protocol import api
@@ -88,8 +88,12 @@
     def known(self) -> int:
         """What its errors say of the machines they were on."""
         if self.finished:
-            return blame.FINE
-        return blame.BROKEN if len(self.failed_on) >= blame.BROKEN_ON else blame.UNKNOWN
+            return failure_attribution.FINE
+        return (
+            failure_attribution.BROKEN
+            if len(self.failed_on) >= failure_attribution.BROKEN_ON
+            else failure_attribution.UNKNOWN
+        )
 
     @property
     def unfinished(self) -> int:
--- a/starlingdeck/coordination/machine_lists.py
+++ b/starlingdeck/coordination/machine_lists.py
@@ -3,7 +3,7 @@
 import logging
 import math
 
-from starlingdeck.coordination.blame import FEW_SICK, Blame
+from starlingdeck.coordination.failure_attribution import FEW_SICK, FailureAttribution
 from starlingdeck.coordination.machine import (
     JobInfo,
     Machine,
@@ -62,7 +62,7 @@
         self.copies = 0
         self.unsaid_reports = 0  # refused because a job's holder has said nothing lately
         self.raise_at = 0.0
-        self.blame = Blame(world.tuning.sick_errors)
+        self.failures = FailureAttribution(world.tuning.sick_errors)
         self.seq = 0
         self.changed = True
 
@@ -147,7 +147,7 @@
             job.guaranteed,
             job.estimate_s,
         )
-        if self.blame.learn(index, job.known):
+        if self.failures.learn(index, job.known):
             for ill in [m for m in self.machines.values() if m.sick is not None]:
                 self._diagnose(ill)
         return index
@@ -193,8 +193,8 @@
     def _diagnose(self, machine: Machine) -> None:
         """Sick by jobs of which little is known are few at a time: a flood of jobs that fail
         everywhere may not take all machines."""
-        sick = self.blame.sick(machine.index)
-        if sick and not machine.sick and not self.blame.surely(machine.index):
+        sick = self.failures.sick(machine.index)
+        if sick and not machine.sick and not self.failures.surely(machine.index):
             others = sum(m.sick is not None for m in self.machines.values())
             sick = others < max(1, len(self.machines) * FEW_SICK)
         if sick is (machine.sick is not None):
@@ -215,6 +215,6 @@
         live = {split_key(key)[0] for key in keys}
         self.jobs = {j: info for j, info in self.jobs.items() if j in live}
         self.shard_of = {j: shard for j, shard in self.shard_of.items() if j in live}
-        self.blame.keep(live, self.machines)
+        self.failures.keep(live, self.machines)
         kept = self.world.now() - GONE_S
         self.gone = {m: at for m, at in self.gone.items() if at > kept or m in named}
--- a/starlingdeck/coordination/machines.py
+++ b/starlingdeck/coordination/machines.py
@@ -224,9 +224,9 @@
         if seen.state != api.EXITED:
             return
         if seen.why == api.W_DONE:
-            self.blame.done(machine.index, job)
+            self.failures.done(machine.index, job)
         elif seen.why == api.W_ERROR:
-            self.blame.error(machine.index, job, key << 32 | seen.attempt)
+            self.failures.error(machine.index, job, key << 32 | seen.attempt)
         if seen.why == api.W_ERROR or machine.sick:
             self._diagnose(machine)
 
--- a/starlingdeck/coordination/node.py
+++ b/starlingdeck/coordination/node.py
@@ -10,7 +10,6 @@
 from starlingdeck.coordination.cloud import CloudClient, CloudError, Fleet, learn_types
 from starlingdeck.coordination.exchange import Exchange
 from starlingdeck.coordination.figures import hearing, largest, waiting
-from starlingdeck.coordination.gifts import Gifts
 from starlingdeck.coordination.inbox import Inbox
 from starlingdeck.coordination.jobs import JobShard
 from starlingdeck.coordination.machine import Machine
@@ -19,6 +18,7 @@
 from starlingdeck.coordination.overload import Overload
 from starlingdeck.coordination.peers import Peers
 from starlingdeck.coordination.planner import Planner
+from starlingdeck.coordination.quota_transfer import QuotaTransfer
 from starlingdeck.coordination.reports import REPORT, Reports
 from starlingdeck.coordination.rooms import Rooms
 from starlingdeck.coordination.scheduler import TeamJob
@@ -77,8 +77,8 @@
         self.wake = curio.Event()
         self.flush = curio.Event()
         self.inbox = Inbox(world, self.membership, self.wake)
-        self.gifts = Gifts(world, self.state, self.membership, self.writers, self.wake)
-        self.admission = Admission([self.gifts])
+        self.transfers = QuotaTransfer(world, self.state, self.membership, self.writers, self.wake)
+        self.admission = Admission([self.transfers])
         self.users = Users(
             world,
             self.state,
@@ -249,7 +249,7 @@
             try:
                 # The former holder may have passed on quota that our watch hasn't shown yet.
                 for entry in (await self.state.read(records.QUOTA))[0]:
-                    self.gifts.learn(entry.key, entry.value, entry.version)
+                    self.transfers.learn(entry.key, entry.value, entry.version)
                 notes = (await self.state.read(records.inbox_key(shard, "")))[0]
                 await writer.load()
                 self.exchange.judge_all(writer.shard)
@@ -295,7 +295,7 @@
             if writer is not None and writer.shard.loaded:
                 await curio.spawn(self.inbox.act, writer, name, key, event.version, daemon=True)
         elif key.startswith(records.QUOTA):
-            self.gifts.learn(key, event.value, event.version)
+            self.transfers.learn(key, event.value, event.version)
         elif self.admission.durable is not None and key.startswith(self.admission.durable.prefix):
             self.admission.durable.learn(key, bytes(event.value), event.version)
             self.rooms.news = True
@@ -462,8 +462,8 @@
             out.holdings.add(shard=shard, node=holder.node, token=holder.token, gen=holder.gen)
         out.demands.extend(self.planner.demands.get(self.world.node, (0.0, []))[1])
         out.deleted.extend(self.deleted)
-        for (team, shard), want in self.gifts.needs.items():
-            task = self.gifts.least(team, shard)
+        for (team, shard), want in self.transfers.needs.items():
+            task = self.transfers.least(team, shard)
             out.needs.add(
                 team=team,
                 shard=shard,
@@ -497,7 +497,7 @@
         ]
         for need in hello.needs:
             task = (need.task_cpus, need.task_gpus)
-            await self.gifts.give(need.team, need.shard, (need.cpus, need.gpus), task)
+            await self.transfers.give(need.team, need.shard, (need.cpus, need.gpus), task)
         if self.admission.durable is not None:
             self.admission.durable.greeted(sender, hello)
         if self.overload is not None:
--- a/starlingdeck/coordination/aside.py
+++ b/starlingdeck/coordination/quarantine.py
@@ -8,7 +8,7 @@
 AGAIN_S = 30.0  # (start) until it is tried once more
 
 
-class Aside:
+class Quarantine:
     """Jobs, machines and records by kind and name; the oldest of KEPT is forgotten first.
 
     The doors refuse what is known to do harm. This guards against what isn't known: one job
--- a/starlingdeck/coordination/quota.py
+++ b/starlingdeck/coordination/quota.py
@@ -40,7 +40,9 @@
             self.shares[team] = [(float(c), float(g)) for c, g in shares]
             self.versions[team] = version
 
-    def gift(self, team: int, giver: int, taker: int, want: Pair, used: Pair) -> list[Pair] | None:
+    def transfer(
+        self, team: int, giver: int, taker: int, want: Pair, used: Pair
+    ) -> list[Pair] | None:
         """The split after `giver` has passed on what it doesn't use; None if that is nothing.
 
         From here until `settle` the giver's share is the smaller one, whatever the write does.
@@ -62,5 +64,5 @@
         return after
 
     def settle(self, team: int, giver: int) -> None:
-        """The key has been read again since the gift: it says what the share is."""
+        """The key has been read again since the transfer: it says what the share is."""
         self.giving.pop((team, giver), None)
--- a/starlingdeck/coordination/gifts.py
+++ b/starlingdeck/coordination/quota_transfer.py
@@ -20,7 +20,7 @@
 log = logging.getLogger(__name__)
 
 
-class Gifts:
+class QuotaTransfer:
     def __init__(
         self,
         world: World,
@@ -122,8 +122,8 @@
 
         Each shard kept a rest in which none of its tasks fitted, and all waited while their team
         was under its limit by more than one. The rests go to where the smallest task waits (of
-        shards alike, the lowest): that starts if any can, and as no gift changes the order, none
-        comes back. The share stays at the largest waiting task's size that it holds: that much
+        shards alike, the lowest): that starts if any can, and none comes back, as no transfer
+        changes the order. The share stays at the largest waiting task's size that it holds: that much
         comes together as the shard's own work ends, and was given to small tasks bit by bit.
         """
         sizes = self.sizes.get((team, giver))
@@ -150,12 +150,16 @@
                 if kept is None:
                     continue
                 used = (max(used[0], kept[0]), max(used[1], kept[1]))
-            after = self.quota.gift(team, giver, taker, want, used)
+            after = self.quota.transfer(team, giver, taker, want, used)
             if after is not None:
-                await curio.spawn(self._write_gift, team, giver, writer.shard, after, daemon=True)
+                await curio.spawn(
+                    self._write_transfer, team, giver, writer.shard, after, daemon=True
+                )
                 return
 
-    async def _write_gift(self, team: int, giver: int, shard: JobShard, after: list[Pair]) -> None:
+    async def _write_transfer(
+        self, team: int, giver: int, shard: JobShard, after: list[Pair]
+    ) -> None:
         key = records.quota_key(team)
         conditions = {
             key: self.quota.versions.get(team, 0),
@@ -167,16 +171,16 @@
             log.info("team %d: shard %d passed on quota: %s", team, giver, after)
         except (StateError, Conflict) as why:
             log.info("team %d: quota not passed on: %r", team, why)
-            # Until the key has been read again the gift counts as made.
+            # Until the key has been read again the transfer counts as made.
             await self._reread_quota(key)
             if isinstance(why, StateUnknown):
                 # It may still be executed: only a write after it, or its trace, ends that.
-                await self._settle_gift(key, team)
+                await self._settle_transfer(key, team)
         self.quota.settle(team, giver)
         await self.wake.set()
 
-    async def _settle_gift(self, key: str, team: int) -> None:
-        """Rewrite the key as it is, so that a gift still on its way finds its condition gone."""
+    async def _settle_transfer(self, key: str, team: int) -> None:
+        """Rewrite the key as it is, so that a transfer on its way finds its condition gone."""
         while True:
             try:
                 version = self.quota.versions.get(team, 0)
--- a/starlingdeck/coordination/users.py
+++ b/starlingdeck/coordination/users.py
@@ -236,7 +236,7 @@
             return await self._look(name, job) or fault(503, "the job is changing")
         if job is not None:
             status = shard.status(job)
-            if why := self.world.aside.why("job", name):
+            if why := self.world.quarantine.why("job", name):
                 status.fault = f"set aside: {why}"
             if job.needs and job.pending(1):
                 status.waits = [w.because for w in self.admission.waits(job)] or None
--- a/starlingdeck/coordination/world.py
+++ b/starlingdeck/coordination/world.py
@@ -5,9 +5,9 @@
 
 from msgspec import Struct, field
 
-from starlingdeck.coordination.aside import Aside
 from starlingdeck.coordination.meters import Meters, Slices
 from starlingdeck.coordination.names import Names
+from starlingdeck.coordination.quarantine import Quarantine
 from starlingdeck.coordination.tally import Tally
 from starlingdeck.protocol.api import JobSpec, MachineType, sound_type
 from starlingdeck.protocol.settings import Settings, Tuning
@@ -34,7 +34,7 @@
     meters: Meters = field(default_factory=Meters)
     tally: Tally = field(default_factory=Tally)
     slices: Slices | None = None  # at log level debug
-    aside: Aside = field(default_factory=Aside)
+    quarantine: Quarantine = field(default_factory=Quarantine)
     node: int = 0
     shards: int = 1
     shard_zones: list[str] = field(default_factory=list)
@@ -48,10 +48,10 @@
             self.teams.put(team.name)
 
     def set_aside(self, kind: str, name: str, fault: BaseException) -> None:
-        self.aside.put(kind, name, fault, self.now())
+        self.quarantine.put(kind, name, fault, self.now())
 
     def rests(self, kind: str, name: str) -> bool:
-        return self.aside.rests(kind, name, self.now())
+        return self.quarantine.rests(kind, name, self.now())
 
     def learn_types(self, types: list[MachineType]) -> None:
         for kind in types:
--- a/tests/meeting.py
+++ b/tests/meeting.py
@@ -209,7 +209,7 @@
             teams[0] = msgspec.structs.replace(teams[0], cpus_max=self.limit)
         node = Node(world)
         client: Any = self.clients[number]
-        for part in (node, node.users, node.membership, node.gifts, node.exchange):
+        for part in (node, node.users, node.membership, node.transfers, node.exchange):
             part.state = client
 
         def up(to: int) -> bool:
--- a/tests/test_bounds.py
+++ b/tests/test_bounds.py
@@ -170,7 +170,7 @@
         await site.go_round(12)
         await site.start()
         await site.go_round(12)
-        assert not site.node.world.aside.found
+        assert not site.node.world.quarantine.found
         assert (await site.ask("GET", f"{api.JOBS}/{GOOD}"))[1]["status"] != api.QUEUED
         for n, status in enumerate(statuses):
             code, told = await site.ask("GET", f"{api.JOBS}/j-{n + 100}")
@@ -202,7 +202,7 @@
         await site.serves()
         status, told = await site.ask("GET", f"{api.JOBS}/j-7")
         assert status == 200
-        assert ("fault" in told) == bool(site.node.world.aside.why("job", "j-7"))
+        assert ("fault" in told) == bool(site.node.world.quarantine.why("job", "j-7"))
         # The same submission once more is not refused: it was accepted.
         assert await site.submit(uid="j-7", **fields) == 200
 
@@ -222,7 +222,7 @@
         assert (await site.ask("GET", f"{api.JOBS}/j-7"))[0] == 503
         # What runs of a job is not known when a part of it can't be read: it starts nothing.
         assert all("j-8/" not in name for w in site.workers.values() for name in w.completed)
-        found = {name for _, name in site.node.world.aside.found}
+        found = {name for _, name in site.node.world.quarantine.found}
         assert found == {records.job_key(0, "j-7"), records.chunk_key(0, "j-8", 1), "j-7"}
 
     curio.run(drive)
@@ -269,7 +269,7 @@
         site.node.membership.renewed = site.clock.at
         assert await site.submit(uid="j-000002", chores=1) == 201
         await site.go_round(20)
-        assert not site.node.world.aside.found
+        assert not site.node.world.quarantine.found
         assert (await site.ask("GET", f"{api.JOBS}/j-000002"))[1]["status"] != api.QUEUED
 
     curio.run(drive)
@@ -285,7 +285,7 @@
         bad.type = None  # type: ignore[assignment]
         machines.touch(bad.index)
         await site.serves()
-        assert list(site.node.world.aside.found) == [("machine", "vm-1")]
+        assert list(site.node.world.quarantine.found) == [("machine", "vm-1")]
 
     curio.run(drive)
 
@@ -332,7 +332,7 @@
         before = dict(site.node.world.types)
         site.node.world.learn_types([kind])
         assert site.node.world.types == before
-        assert list(site.node.world.aside.found) == [("machine type", "odd")]
+        assert list(site.node.world.quarantine.found) == [("machine type", "odd")]
         await site.serves()
 
     curio.run(drive)
--- a/tests/test_hearing.py
+++ b/tests/test_hearing.py
@@ -7,7 +7,7 @@
 import msgspec
 import pytest
 
-from starlingdeck.coordination.blame import FINE, Blame
+from starlingdeck.coordination.failure_attribution import FINE, FailureAttribution
 from starlingdeck.coordination.hearing import may_return
 from starlingdeck.coordination.job import Job, Place, densest, new_job
 from starlingdeck.coordination.jobs import JobShard
@@ -256,14 +256,18 @@
 
 
 def failing(
-    blame: Blame, jobs: range, machine: int, well: bool = False, elsewhere: bool = False
+    failures: FailureAttribution,
+    jobs: range,
+    machine: int,
+    well: bool = False,
+    elsewhere: bool = False,
 ) -> None:
     for job in jobs:
-        blame.error(machine, job, 1)
+        failures.error(machine, job, 1)
         if elsewhere:
-            blame.error(machine + 1, job, 2)
+            failures.error(machine + 1, job, 2)
         if well:
-            blame.learn(job, FINE)
+            failures.learn(job, FINE)
 
 
 @pytest.mark.parametrize(
@@ -279,13 +283,13 @@
     case: str, jobs: range, well: bool, elsewhere: bool, sick: bool
 ) -> None:
     """Three tasks of one wrong job made a large machine sick, and it was returned."""
-    blame = Blame(3)
-    failing(blame, jobs, 5, well, elsewhere)
+    failures = FailureAttribution(3)
+    failing(failures, jobs, 5, well, elsewhere)
     for attempt in range(30):
-        blame.error(5, jobs[0], attempt)
-    assert blame.sick(5) is sick, case
-    blame.done(5, 99)
-    assert not blame.sick(5)
+        failures.error(5, jobs[0], attempt)
+    assert failures.sick(5) is sick, case
+    failures.done(5, 99)
+    assert not failures.sick(5)
 
 
 def test_thousands_of_jobs_that_fail_everywhere_take_few_machines() -> None:
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -218,7 +218,7 @@
         await node.planner.plan()
         await curio.sleep(0)
 
-    node.gifts.quota.learn(0, [(3.0, 0.0), (10.0, 0.0), (11.0, 0.0)], 9)
+    node.transfers.quota.learn(0, [(3.0, 0.0), (10.0, 0.0), (11.0, 0.0)], 9)
     node.planner.reserve_here = reserve
     node.peers.heard[0] = 1e9
     curio.run(drive)
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -29,7 +29,7 @@
             used[me] = max(0.0, used[me] - 1)
         elif what == "give":
             want = (float(rng.randint(1, 12)), 0.0)
-            after = quota.gift(0, me, (me + 1) % 3, want, (used[me], 0.0))
+            after = quota.transfer(0, me, (me + 1) % 3, want, (used[me], 0.0))
             if after is not None:
                 luck, based = rng.random(), quota.versions.get(0, 0)
                 if luck < 0.3:
@@ -57,9 +57,9 @@
     world = make_world(Clock())
     quota = Quota(world)
     for giver in (1, 2):
-        after = quota.gift(0, giver, 0, (12.0, 0.0), (0.0, 0.0))
+        after = quota.transfer(0, giver, 0, (12.0, 0.0), (0.0, 0.0))
         assert after is not None
         quota.learn(0, after, giver)
         quota.settle(0, giver)
     assert quota.share(0, 0) == (24.0, quota.share(0, 0)[1])
-    assert quota.gift(1, 1, 0, (12.0, 0.0), (0.0, 0.0)) is None  # no limit, nothing to move
+    assert quota.transfer(1, 1, 0, (12.0, 0.0), (0.0, 0.0)) is None  # no limit, nothing to move
