--- a/scripts/capacity.py
+++ b/scripts/capacity.py
@@ -266,6 +266,21 @@
     return table(head, rows)
 
 
+def troubles_table(m: Measured) -> list[str]:
+    rows = [
+        (
+            f"{t['kind']} at {t['at_s']:.0f} s", f"{r['workers']}", f"{t['running_before']}",
+            f"{t['running_least']}",
+            "not within the run" if t["again_s"] is None else f"{t['again_s']:.1f} s",
+            f"{t['gap_s']:.1f} s",
+        )
+        for r in m.runs["troubles"]
+        for t in r["recoveries"]
+    ]  # fmt: skip
+    head = ["trouble", "workers", "tasks before", "least", "95% again after", "longest no start"]
+    return table(head, rows)
+
+
 def page_tables(m: Measured) -> dict[str, list[str]]:
     gap_rows = [
         (f"{reach:.2f}", name, limit, need, "**gap**" if reach < 1 else "", mark)
@@ -286,6 +301,7 @@
         "gaps": table(["reach", "what carries it", "limit", "need", "", "mark"], gap_rows),
         "region": table(head, region_rows(m)),
         "growth": table(["", "number", "size or time"], growth),
+        "troubles": troubles_table(m),
         "rungs": rungs_table(m),
     }
 
--- a/starlingdeck/coordination/quota_transfer.py
+++ b/starlingdeck/coordination/quota_transfer.py
@@ -123,8 +123,8 @@
         Each shard kept a rest in which none of its tasks fitted, and all waited while their team
         was under its limit by more than one. The rests go to where the smallest task waits (of
         shards alike, the lowest): that starts if any can, and none comes back, as no transfer
-        changes the order. The share stays at the largest waiting task's size that it holds: that much
-        comes together as the shard's own work ends, and was given to small tasks bit by bit.
+        changes the order. The share stays at the largest waiting task's size that it holds: that
+        much comes together as the shard's own work ends, and was given to small tasks bit by bit.
         """
         sizes = self.sizes.get((team, giver))
         if not sizes or not any(task) or (task, taker) >= (min(sizes), giver):
