--- a/standins/scale/plan.py
+++ b/standins/scale/plan.py
@@ -7,7 +7,7 @@
 import msgspec
 from msgspec import Meta
 
-from starlingdeck.protocol.settings import Fault, faults_of
+from starlingdeck.protocol.settings import Fault, faults_of, load_tuning
 
 Rate = Annotated[float, Meta(ge=0, le=100_000)]
 Share = Annotated[float, Meta(ge=0, le=1)]
@@ -120,7 +120,7 @@
                 lines += faults_of(row, kind, f"{name}[{number}]")
     if not lines:
         plan = msgspec.convert(raw, Plan)
-        lines = beyond(plan, memory_mb(), sockets())
+        lines = beyond(plan, memory_mb(), sockets()) + tuning_faults(plan)
     if lines:
         raise Fault([f"{path}: {line}" for line in lines])
     return plan
@@ -155,6 +155,17 @@
     return lines
 
 
+def tuning_faults(plan: Plan) -> list[str]:
+    """What is wrong with the controllers' tuning file."""
+    if not plan.tuning:
+        return []
+    try:
+        load_tuning(Path(plan.tuning))
+    except Fault as fault:
+        return [f"tuning: {line}" for line in fault.lines]
+    return []
+
+
 def hosts(plan: Plan, rung: Rung) -> int:
     """Processes of hollow workers."""
     return -(-rung.workers // plan.per_process)
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -192,6 +192,7 @@
     ("[[rungs]]\nworkers = 5\n[[troubles]]\nat_s = 1.0\nkind = 'x'\n", ["troubles[0].kind"]),
     ("[users]\nteams = 2000\n[[rungs]]\nworkers = 5\n", ["users.teams: at most 999"]),
     ("[[rungs]]\nworkers = 90000\ncontrollers = 9\n", ["over half of", "sockets in a process"]),
+    ("tuning = 'no such file'\n[[rungs]]\nworkers = 5\n", ["tuning: no such file"]),
     ("per_process = 1\n[[rungs]]\nworkers = 900\n", ["processes, over"]),
 ]
 
