--- a/starlingdeck/coordination/group_commit.py
+++ b/starlingdeck/coordination/group_commit.py
@@ -6,6 +6,7 @@
 
 import logging
 
+import curio
 import msgspec
 from msgspec import Struct
 
@@ -25,6 +26,10 @@
 LEAST_BYTES = 1024  # of a commit: with less room a job's part may not fit
 CONDITIONS = 4  # times the changes that a transaction may hold
 
+STRETCH_S = 0.005  # (start) of applying a commit before others get their turn
+
+Doubts = tuple[Job, set[int]]  # chunks of a job in which a commit under way ends tasks
+
 
 class Batch(Struct):
     """What goes into the next commit. `more`: not all that waits did."""
@@ -160,15 +165,24 @@
         except StateError:
             self._undoubt(added)
             raise
-        self._undoubt(added)
         self.shard.log.written(commit, revision)
         self.at_once = batch.more
-        for draft in batch.drafts:
+        await self._apply(batch, added, revision)
+        return True
+
+    async def _apply(self, batch: Batch, added: list[Doubts], revision: int) -> None:
+        """Make a durable commit true here, job by job: hundreds of tasks at a stretch let
+        submissions wait. Until its turn a job's answers come from the log."""
+        began = self.world.now()
+        for draft, doubts in zip(batch.drafts, added, strict=True):
             self.since.pop(draft.job.index, None)
             self.shard.commit(draft, revision)
-        return True
+            self._undoubt([doubts])
+            if self.world.now() - began > STRETCH_S:
+                await curio.sleep(0)
+                began = self.world.now()
 
-    def _doubt(self, batch: Batch) -> list[tuple[Job, set[int]]]:
+    def _doubt(self, batch: Batch) -> list[Doubts]:
         """Others that read the log may tell its users of an end before we know: until then the
         job's answers come from there as well."""
         added = []
@@ -179,7 +193,7 @@
         return added
 
     @staticmethod
-    def _undoubt(added: list[tuple[Job, set[int]]]) -> None:
+    def _undoubt(added: list[Doubts]) -> None:
         for job, ended in added:
             job.in_doubt -= ended
 
