--- a/standins/hollow.py
+++ b/standins/hollow.py
@@ -216,11 +216,12 @@
             self.host.tell("gone", "-", self)
 
     def restart(self) -> None:
-        """Back at once with nothing on it."""
+        """Back at once with nothing on it; one without power stays as it is."""
+        if self.dead:
+            return
         self.host.tell("gone", "-", self)
         now = time.monotonic()
         self.agent.restart(now)
-        self.dead = False
         self.change(now)
 
 
--- a/standins/hollow_cloud.py
+++ b/standins/hollow_cloud.py
@@ -45,7 +45,7 @@
         machine.addr = msgspec.json.decode(reply.body, type=list[str])[0]
 
     async def kill(self, name: str) -> None:
-        host = self.place.pop(name, None)
+        host = self.place.get(name)
         if host is not None:
             await self.http.call(host, "POST", "/kill", msgspec.json.encode([name]), CALL_S)
 
--- a/standins/scale/troubles.py
+++ b/standins/scale/troubles.py
@@ -13,7 +13,7 @@
 from standins.scale.site import Site
 
 SAMPLE_S = 0.25
-BEFORE_S = 3.0  # over which the running tasks before a trouble are averaged
+BEFORE_S = 10.0  # over which the running tasks before a trouble are averaged
 AGAIN = 0.95  # of them that count as recovered
 QUIET_S = 20.0  # after a trouble within which its longest gap between starts is sought
 
@@ -87,10 +87,11 @@
 
     def recoveries(self, origin: float) -> list[Recovery]:
         """What the samples say of each trouble; `origin` is the run's beginning."""
+        troubles = [(t, at) for t, at in self.began if t.kind != "restarts"]
+        ends = [at for _, at in troubles[1:]] + [float("inf")]
         return [
-            recovery(trouble, at, origin, self.samples)
-            for trouble, at in self.began
-            if trouble.kind != "restarts"
+            recovery(trouble, at, origin, [s for s in self.samples if s.at < end])
+            for (trouble, at), end in zip(troubles, ends, strict=True)
         ]
 
 
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -122,6 +122,16 @@
     assert checked.starts == 1 and checked.finished == {TASK}
 
 
+def test_a_machine_without_power_is_not_restarted() -> None:
+    """It came back to life after the cloud had answered for its deletion: a task ran on, and was
+    rightly begun elsewhere."""
+    made = host()
+    machine = made.machines["vm-0"]
+    machine.end()
+    machine.restart()
+    assert machine.dead and [line.split()[1] for line in made.lines] == ["gone"]
+
+
 # --- hollow workers follow the protocol
 
 START, STOP, FORGET = api.START, api.STOP, api.FORGET
