--- a/scripts/capacity.py
+++ b/scripts/capacity.py
@@ -235,7 +235,8 @@
         ),
         (
             URGENT_S / m.region[0]["waits"]["urgent"]["p99"],
-            f"urgent starts of a region, p99 at {m.region[0]['starts']:.0f} a second", f"{URGENT_S:.0f} s",
+            f"urgent starts of a region, p99 at {m.region[0]['starts']:.0f} a second",
+            f"{URGENT_S:.0f} s",
             f"{m.region[0]['waits']['urgent']['p99']:.1f} s", "measured",
         ),
         (
@@ -276,7 +277,8 @@
     rows = [
         (
             f"{r['controllers']}", f"{cores(r):.2f}", f"{cores(r) / cores(first):.1f}",
-            f"{r['between_bytes'] / 1000:.0f}", f"{r['between_bytes'] / first['between_bytes']:.1f}",
+            f"{r['between_bytes'] / 1000:.0f}",
+            f"{r['between_bytes'] / first['between_bytes']:.1f}",
             f"{r['state_requests']:.0f}", f"{r['state_changes'] / r['starts']:.2f}",
             f"{r['controller_descriptors']}",
         )
