--- a/standins/scale/troubles.py
+++ b/standins/scale/troubles.py
@@ -88,11 +88,13 @@
     def recoveries(self, origin: float) -> list[Recovery]:
         """What the samples say of each trouble; `origin` is the run's beginning."""
         troubles = [(t, at) for t, at in self.began if t.kind != "restarts"]
-        ends = [at for _, at in troubles[1:]] + [float("inf")]
-        return [
-            recovery(trouble, at, origin, [s for s in self.samples if s.at < end])
-            for (trouble, at), end in zip(troubles, ends, strict=True)
-        ]
+        begins = [at for _, at in troubles]
+        found = []
+        for trouble, at in troubles:
+            until = min((later for later in begins if later > at), default=float("inf"))
+            samples = [sample for sample in self.samples if sample.at < until]
+            found.append(recovery(trouble, at, origin, samples))
+        return found
 
 
 def recovery(trouble: Trouble, at: float, origin: float, samples: list[Sample]) -> Recovery:
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -14,7 +14,8 @@
 from standins.scale import report as reports
 from standins.scale.checker import Checker
 from standins.scale.plan import DEFAULT, Plan, Rung, Trouble, beyond, load
-from standins.scale.troubles import Sample, longest_gap, recovery
+from standins.scale.site import Site
+from standins.scale.troubles import Sample, Troubles, longest_gap, recovery
 from standins.state import State
 from starlingdeck.protocol import api
 from starlingdeck.protocol.settings import Fault
@@ -241,6 +242,17 @@
     assert longest_gap(samples, 5.0) == 2.0
 
 
+def test_each_trouble_is_read_up_to_the_next() -> None:
+    plan = Plan([Rung(5)])
+    troubles = Troubles(Site(plan, plan.rungs[0], Path("unused")), checker(), 1)
+    assert troubles.recoveries(0.0) == []
+    running = [10, 10, 4, 10, 10, 0, 0, 10]
+    troubles.samples = [Sample(float(i), r, i) for i, r in enumerate(running)]
+    troubles.began = [(Trouble(2.0, "rack"), 2.0), (Trouble(5.0, "state"), 5.0)]
+    found = troubles.recoveries(0.0)
+    assert [(one.running_least, one.again_s) for one in found] == [(4, 1.0), (0, 2.0)]
+
+
 def row(**other: Any) -> reports.Row:
     empty = {f.name: f.type for f in msgspec.structs.fields(reports.Row)}
     values: dict[str, Any] = {name: 0 for name in empty}
