--- a/scripts/counts_proof.py
+++ b/scripts/counts_proof.py
@@ -274,7 +274,7 @@
         await curio.sleep(0.5)
     await nuisance.cancel()
     ended = await site.until({200}, "GET", "/stats", site.state)
-    stats = {name: ended[name] - began[name] for name in ended}
+    stats = {name: ended[name] - began[name] for name in ("changes", "writes", "refused")}
     more = {
         "state changes a job": round(stats["changes"] / jobs, 2),
         "writes refused for a condition": round(stats["refused"] / max(1, stats["writes"]), 3),
