--- a/tests/test_close_questions.py
+++ b/tests/test_close_questions.py
@@ -31,12 +31,9 @@
     await deck.run(2.0)
 
 
-@pytest.mark.parametrize("trouble", ["lost", "slow"])
-def test_no_count_falls_while_a_write_is_under_way(
-    monkeypatch: pytest.MonkeyPatch, trouble: str
-) -> None:
-    """The holder's write of ended tasks was carried out and its answer under way, or lost: others
-    read and told the count, then the holder told the one before."""
+def counts_while_writing(monkeypatch: pytest.MonkeyPatch, trouble: str) -> list[int]:
+    """How many of a job's tasks are told done, while its holder's writes are answered late or not
+    at all and everybody is asked; a count that falls is a broken rule."""
     deck = Deck(3)
     counts = []
 
@@ -53,6 +50,16 @@
         deck.calm()
 
     play(monkeypatch, deck, drive())
+    return counts
+
+
+@pytest.mark.parametrize("trouble", ["lost", "slow"])
+def test_no_count_falls_while_a_write_is_under_way(
+    monkeypatch: pytest.MonkeyPatch, trouble: str
+) -> None:
+    """The holder's write of ended tasks was carried out and its answer under way, or lost: others
+    read and told the count, then the holder told the one before."""
+    counts = counts_while_writing(monkeypatch, trouble)
     assert counts[0] < counts[-1]
 
 
--- a/tests/test_group_commit.py
+++ b/tests/test_group_commit.py
@@ -3,8 +3,6 @@
 from typing import Any
 
 import pytest
-from hypothesis import given, settings
-from hypothesis import strategies as st
 
 from starlingdeck.coordination import commit_log as ring_module
 from starlingdeck.coordination.users import Users
@@ -12,14 +10,12 @@
 from tests import build
 from tests.meeting import Deck, play
 from tests.model import Broken, Model
-from tests.test_close_questions import ask_all, staggered
+from tests.test_close_questions import ask_all, counts_while_writing, staggered
 from tests.test_meetings import (
     MEETINGS,
-    PLACES,
-    STEPS,
     WORLDS,
+    check_meetings,
     live_meeting,
-    live_through,
     of_shard,
     start_trouble,
 )
@@ -62,19 +58,6 @@
     assert any(key.startswith(LOG) for key in deck.state.keys)
 
 
-@settings(derandomize=True, max_examples=10, deadline=None)
-@given(
-    seed=st.integers(0, 1 << 16),
-    place=st.sampled_from(PLACES),
-    steps=st.lists(STEPS, min_size=3, max_size=8),
-)
-def check_meetings(
-    monkeypatch: Patch, seed: int, place: dict[str, Any], steps: list[tuple[str, int, float]]
-) -> None:
-    deck = Deck(seed, **place)
-    play(monkeypatch, deck, live_through(deck, steps))
-
-
 def test_no_rule_breaks_where_troubles_meet(monkeypatch: Patch) -> None:
     small_ring(monkeypatch)
     check_meetings(monkeypatch)
@@ -83,22 +66,7 @@
 @pytest.mark.parametrize("trouble", ["lost", "slow"])
 def test_no_count_falls_while_a_commit_is_under_way(monkeypatch: Patch, trouble: str) -> None:
     """Others answer from the record and the log while the holder's commit has no answer yet."""
-    deck = Deck(3)
-    counts = []
-
-    async def drive() -> None:
-        name = of_shard(0)
-        await staggered(deck, name)
-        start_trouble(deck, "apart", 0)
-        deck.clients[0].lost = float(trouble == "lost")
-        deck.clients[0].slow_s = 2.0
-        for _ in range(80):
-            await deck.beside(ask_all, deck, name)
-            await deck.run(0.1)
-            counts.append(deck.done.get(name, 0))
-        deck.calm()
-
-    play(monkeypatch, deck, drive())
+    counts = counts_while_writing(monkeypatch, trouble)
     assert counts[0] < counts[-1]
 
 
