With the log on, a job starts no more tasks than its record can hold

Cause: read once more, the log took starts that a record, with a long description or long names, had no room for: its checkpoint and its cancellation would have been answered 400 for ever. Change: a quick bound, then the record itself, decide how many of a chunk's starts wait. Result: large_record passes, and is red without the bound. Only with group_commit on.

--- a/starlingdeck/coordination/jobs.py
+++ b/starlingdeck/coordination/jobs.py
@@ -7,6 +7,8 @@
 import logging
 from collections.abc import Iterable
 
+import msgspec
+
 from starlingdeck.coordination import tally
 from starlingdeck.coordination.commit_log import CommitLog
 from starlingdeck.coordination.job import (
@@ -35,6 +37,9 @@
 
 FINALS_KEPT = 5000  # jobs that are over and answered without a question; the record knows all
 PARTS_KEPT_S = 10.0  # (start) of ended arrays: a look that began before the end reads them still
+SPARE_BYTES = 200  # of a value, left free by starts
+PLACEMENT_BYTES = 45  # of one in a record, beside its names
+LARGEST_REST = 6000  # bytes of a record beside its placements: a quarter of a value is the job's
 LISTED_S = 0.3  # (start) from a record's writing until its machine's owner has the list
 
 
@@ -409,6 +414,9 @@
         ends = dict(list(ends.items())[:tasks])
         starts = {t: p for t, p in starts.items() if t in ends or t not in job.places}
         starts = dict(list(starts.items())[: tasks - len(ends)])
+        self._keep_to_value(job, ends, starts)
+        if not ends and not starts:
+            return None
         done = [t for t, why in ends.items() if why == api.W_DONE]
         freed = [t for t, why in ends.items() if why != api.W_DONE]
         placed = [placement(self.world, t, place) for t, place in starts.items()]
@@ -419,6 +427,32 @@
             conditions[key] = job.versions.get(number, 0)
         return Draft(job, conditions, [], ends, starts, "", False, []), change
 
+    def _keep_to_value(self, job: Job, ends: dict[int, int], starts: dict[int, Place]) -> None:
+        """Leaves starts for later until the chunks' records fit a value each: a checkpoint and a
+        cancellation have to rewrite them, whatever the log has room for."""
+        most = self.world.settings.settings.state.value_kb * 1000 - SPARE_BYTES
+        for number in self._large_chunks(job, starts, most):
+            while mine := [task for task in starts if task // CHUNK == number]:
+                (written,) = self._rewrite(job, [number], ends, starts).changes
+                if len(msgspec.json.encode(written)) <= most:
+                    break
+                for task in mine[len(mine) // 2 :]:
+                    del starts[task]
+                    del job.starts[task]
+                    job.retry_at[task] = self.world.now() + 1.0
+
+    def _large_chunks(self, job: Job, starts: dict[int, Place], most: float) -> list[int]:
+        """Chunks with starts that may not fit: by a quick bound, for encoding them costs more."""
+        sizes = {task // CHUNK: LARGEST_REST for task in starts}
+        if not sizes:
+            return []
+        for task, place in (*starts.items(), *job.places.items()):
+            number = task // CHUNK
+            if number in sizes:
+                names = len(self.world.machines[place.machine]) + len(self.world.zones[place.zone])
+                sizes[number] += names + PLACEMENT_BYTES
+        return [number for number, size in sizes.items() if size > most]
+
     def _drop_late(self, job: Job) -> None:
         """Starts whose room is given to others before their list comes wait again, unwritten.
 
--- a/starlingdeck/coordination/writer.py
+++ b/starlingdeck/coordination/writer.py
@@ -8,7 +8,7 @@
 from starlingdeck.coordination.admission import Durable, Grant
 from starlingdeck.coordination.group_commit import GroupCommit
 from starlingdeck.coordination.job import URGENT, Draft, Job
-from starlingdeck.coordination.jobs import JobShard
+from starlingdeck.coordination.jobs import SPARE_BYTES, JobShard
 from starlingdeck.coordination.loader import Loader
 from starlingdeck.coordination.world import World
 from starlingdeck.protocol import api
@@ -18,7 +18,6 @@
 log = logging.getLogger(__name__)
 
 TXN_BYTES = 56 * 1024
-SPARE_BYTES = 200  # of a value, left free by starts
 OVERDUE_S = 1.0  # (start) a record passed over for so long is as urgent as a start,
 OVERDUE_TURN = 3  # (start) in every third batch
 HALVED_S = 5.0  # (start) how soon half of what a team has written is forgotten
--- a/tests/test_commit_log.py
+++ b/tests/test_commit_log.py
@@ -424,6 +424,22 @@
     assert succeed(holder).seen() == holder.seen()
 
 
+def large_record() -> None:
+    """A long description and long names: the log has room for all starts, the record has not. It
+    must still be rewritten for a checkpoint, and for a cancellation."""
+    holder = Holder(*site())
+    holder.accept(JOB, tasks=CHUNK, builds=["x" * 100] * 30)
+    for first in range(0, CHUNK, 32):
+        holder.start(*range(first, first + 32), machine="m" * 90)
+        holder.flush(1)
+    running = len(holder.seen()[0])
+    assert 32 < running < CHUNK
+    checkpoint = holder.shard._rewrite(holder.job(), [0], {}, {})
+    assert curio.run(holder.writer._write, [checkpoint], False)
+    curio.run(holder.writer.cancel, holder.job())
+    assert holder.job().cancelled and len(succeed(holder).seen()[0]) == running
+
+
 def torn_entry() -> None:
     """A change that can't be read: its job is set aside, known, and nothing of it starts; the
     other jobs go on, and what is stored stays."""
@@ -527,6 +543,7 @@
     part_written_late,
     older_segment_kept,
     large_array,
+    large_record,
     torn_entry,
     unknown_form,
     full_log,
@@ -618,6 +635,10 @@
     monkeypatch.setattr(ring_module, "VALUE_SPARE", -100_000)
 
 
+def records_not_bounded(monkeypatch: Patch) -> None:
+    monkeypatch.setattr(JobShard, "_keep_to_value", lambda self, *rest: None)
+
+
 def no_slots_reserved(monkeypatch: Patch) -> None:
     monkeypatch.setattr(GroupCommit, "may_start", lambda self: True)
     monkeypatch.setattr(GroupCommit, "by_log", lambda self, job: True)
@@ -636,6 +657,7 @@
     (records_not_asked, cancelled_elsewhere),
     (records_without_position, older_segment_kept),
     (tasks_not_bounded, large_array),
+    (records_not_bounded, large_record),
     (hidden_changes_ignored, torn_entry),
     (entries_not_pinned, torn_entry),
     (hidden_changes_ignored, unknown_form),
