With the log on, the bound of a chunk counts the job's description; what fits no value is set aside

Cause: GROUP_COMMIT=1 on the whole suite: a record from before the bounds, whose description alone is over a value, was started by the log (test_bounds, fields3), and could not have been cancelled. Change: its size is in the bound; a job of which not one start fits is set aside, as by records. Only with group_commit.

--- a/starlingdeck/coordination/jobs.py
+++ b/starlingdeck/coordination/jobs.py
@@ -39,7 +39,7 @@
 PARTS_KEPT_S = 10.0  # (start) of ended arrays: a look that began before the end reads them still
 SPARE_BYTES = 200  # of a value, left free by starts
 PLACEMENT_BYTES = 45  # of one in a record, beside its names
-LARGEST_REST = 6000  # bytes of a record beside its placements: a quarter of a value is the job's
+LARGEST_REST = 3000  # bytes of a chunk beside placements and the job's description
 LISTED_S = 0.3  # (start) from a record's writing until its machine's owner has the list
 
 
@@ -434,8 +434,11 @@
         for number in self._large_chunks(job, starts, most):
             while mine := [task for task in starts if task // CHUNK == number]:
                 (written,) = self._rewrite(job, [number], ends, starts).changes
-                if len(msgspec.json.encode(written)) <= most:
+                size = len(msgspec.json.encode(written))
+                if size <= most:
                     break
+                if len(mine) == 1 and not job.places:
+                    raise ValueError(f"a record of {size} bytes, of {most} allowed")
                 for task in mine[len(mine) // 2 :]:
                     del starts[task]
                     del job.starts[task]
@@ -446,6 +449,8 @@
         sizes = {task // CHUNK: LARGEST_REST for task in starts}
         if not sizes:
             return []
+        if 0 in sizes:
+            sizes[0] += len(msgspec.json.encode(job.spec))
         for task, place in (*starts.items(), *job.places.items()):
             number = task // CHUNK
             if number in sizes:
