Show by a test: a shard acquired under an ended lease is answered for beside its next owner

The takeover's transaction is executed under a lease that ends before its answer comes; the sender has obtained a new lease meanwhile and records the ownership all the same.

--- a/tests/test_read_consistency.py
+++ b/tests/test_read_consistency.py
@@ -9,8 +9,10 @@
 import msgspec
 import pytest
 
+from starlingdeck.cluster.failover import takeover_delay_s
 from starlingdeck.protocol import api
 from starlingdeck.storage import records
+from starlingdeck.storage.state import StateError
 from tests.support.builders import job_body
 from tests.support.simulated_cluster import SimulatedCluster, run_simulation
 from tests.test_concurrent_failures import inject_failure, job_of_shard
@@ -162,3 +164,61 @@
         return states
 
     assert set(run_simulation(monkeypatch, cluster, drive())) == {"cancelled"}
+
+
+TAKEOVER_ANSWER_DELAY_S = 1.5  # less than a transaction's time-out
+
+
+def delay_takeover_past_the_lease(cluster: SimulatedCluster, number: int, from_s: float) -> None:
+    """Answer a controller's next takeover late, and refuse its renewals from `from_s` until its
+    lease has ended."""
+    client = cluster.clients[number]
+    transact, renew = client.transact, client.renew
+    renewed_since: list[int] = []  # the lease that was renewed once more after `from_s`
+    delayed: list[int] = []
+
+    async def slow(conditions, changes, urgent=False):  # type: ignore[no-untyped-def]  # the signature of `transact`
+        revision = await transact(conditions, changes, urgent)
+        if changes and changes[0].put == records.shard_key(0) and not delayed:
+            delayed.append(revision)
+            await curio.sleep(TAKEOVER_ANSWER_DELAY_S)
+        return revision
+
+    async def refused(lease: int) -> None:
+        if lease in renewed_since and lease in cluster.state.leases:
+            raise StateError("503")
+        await renew(lease)
+        if cluster.clock.at >= from_s and not renewed_since:
+            renewed_since.append(lease)
+
+    client.transact, client.renew = slow, refused  # type: ignore[method-assign]  # test doubles
+
+
+def test_a_shard_acquired_under_a_lease_that_has_ended_is_not_answered_for(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A takeover was answered after its lease had ended and a new one was obtained: its sender took
+    itself for the owner beside the next one, and reported a cancelled job as queued."""
+    cluster = SimulatedCluster(7)
+
+    async def drive() -> str:
+        name = job_of_shard(0)
+        await cluster.run(4.0)
+        await cluster.spawn(cluster.submit, name, 2, 90.0)
+        await cluster.run(2.0)
+        cluster.crash(0, 60.0)
+        cluster.partitions.add(frozenset((1, 2)))
+        key_ends_at = cluster.state.leases[cluster.state.attached[records.shard_key(0)]]
+        first = min(
+            (1, 2), key=lambda n: takeover_delay_s(cluster.controllers[n].context, 0, (1, 2))
+        )
+        delay_takeover_past_the_lease(cluster, first, key_ends_at - 1.6)
+        second = 3 - first
+        await cluster.run(key_ends_at + TAKEOVER_ANSWER_DELAY_S + 0.6 - cluster.clock.at)
+        await cluster.spawn(cluster.cancel, name, (second,))
+        for _ in range(20):
+            await cluster.run(0.1)
+            await cluster.request(first, "GET", f"{api.JOBS}/{name}")
+        return cluster.reported_terminal[name][0]
+
+    assert run_simulation(monkeypatch, cluster, drive()) == api.CANCELLED
