--- a/standins/scale/run.py
+++ b/standins/scale/run.py
@@ -28,6 +28,21 @@
         super().__init__(f"port {numbers}: taken already; set another first port with `port`")
 
 
+class EventReceiver:
+    """Passes the events of worker hosts to a checker."""
+
+    def __init__(self, checker: Checker) -> None:
+        self.checker = checker
+
+    async def receive(self, sock: curio.io.Socket, _address: object) -> None:
+        """Receive the events of one worker host."""
+        partial_line = b""
+        while data := await sock.recv(64 * 1024):
+            *lines, partial_line = (partial_line + data).split(b"\n")
+            for line in lines:
+                self.checker.receive_event(line.decode())
+
+
 class RungRunner:
     """Runs one rung; `print_line` is called with lines about its progress."""
 
@@ -41,16 +56,6 @@
         self.fault_injector = FaultInjector(self.site, self.checker, plan.seed)
         self.measurement = RungMeasurement(self.site, self.checker, self.users, self.fault_injector)
 
-    # --- events
-
-    async def receive_events(self, sock: curio.io.Socket, _address: object) -> None:
-        """Receive the events of one worker host."""
-        partial_line = b""
-        while data := await sock.recv(64 * 1024):
-            *lines, partial_line = (partial_line + data).split(b"\n")
-            for line in lines:
-                self.checker.receive_event(line.decode())
-
     async def evaluate_loop(self) -> None:
         """Evaluate events every EVALUATION_INTERVAL_S seconds until a rule is broken.
 
@@ -66,7 +71,8 @@
     async def run(self) -> Row:
         """Run the rung and return its row."""
         address = split_address(self.site.checker)
-        listener = await curio.spawn(curio.tcp_server, *address, self.receive_events, daemon=True)
+        receiver = EventReceiver(self.checker)
+        listener = await curio.spawn(curio.tcp_server, *address, receiver.receive, daemon=True)
         tasks = [listener]
         try:
             await curio.sleep(0)  # the listener has to listen before a worker host connects
--- a/standins/scale/site.py
+++ b/standins/scale/site.py
@@ -6,6 +6,7 @@
 import subprocess
 import sys
 import time
+from collections.abc import Iterable
 from pathlib import Path
 from typing import Any, TypeVar
 
@@ -55,6 +56,11 @@
     def taken_ports(self) -> list[int]:
         """Return the ports of the site that are in use already."""
         addresses = (self.state, self.cloud, self.checker, *self.hosts, *self.public, *self.cluster)
+        return self.ports_in_use(addresses)
+
+    @staticmethod
+    def ports_in_use(addresses: Iterable[str]) -> list[int]:
+        """Return the ports of those addresses that are in use already."""
         taken = []
         for address in addresses:
             with socket.socket() as trial:
@@ -158,10 +164,7 @@
 
     async def start_all(self) -> None:
         """Start all processes and wait until every controller is healthy."""
-        limits = self.plan.limits
-        options = [f"--rps={limits.rps}", f"--write-rps={limits.write_rps}"]
-        options += [f"--value-kb={limits.value_kb}", f"--txn-ops={limits.txn_ops}"]
-        self.start("state", "-m", "standins.state", self.state, *options)
+        self.start_state_service()
         for number in range(len(self.hosts)):
             path = self.write_json(f"host-{number}.json", self.host_config(number))
             self.start(f"host-{number}", "-m", "standins.simulated_workers", path)
@@ -175,12 +178,23 @@
         for address in self.public:
             await self.wait_ready(address, api.HEALTH)
 
+    def start_state_service(self) -> None:
+        """Start the state service with the plan's limits."""
+        limits = self.plan.limits
+        options = [f"--rps={limits.rps}", f"--write-rps={limits.write_rps}"]
+        options += [f"--value-kb={limits.value_kb}", f"--txn-ops={limits.txn_ops}"]
+        self.start("state", "-m", "standins.state", self.state, *options)
+
     def start_controller(self, number: int) -> None:
         """Start one controller."""
+        self.start(f"n-{number}", *self.controller_command(number))
+
+    def controller_command(self, number: int) -> list[str]:
+        """Return the command that starts a controller, without the interpreter."""
         command = ["run.py", "run", "--config", str(self.folder / f"n-{number}.json")]
         if self.plan.tuning:
             command += ["--tuning", str(Path(self.plan.tuning).resolve())]
-        self.start(f"n-{number}", *command)
+        return command
 
     def kill_controller(self, number: int) -> None:
         """Kill one controller with SIGKILL; its processor time so far is kept."""
--- a/standins/simulated_workers.py
+++ b/standins/simulated_workers.py
@@ -56,6 +56,7 @@
     fetch_s: float
     seed: int
     broken: bool = False  # reports each start on two machines, to test the checker
+    advertised_port: int = 0  # the port that controllers are told; 0: `port`
 
 
 class StartRequest(msgspec.Struct):
@@ -343,7 +344,8 @@
         number = len(self.machines)
         subnet, host = divmod(number, MACHINES_PER_SUBNET)
         address = f"127.{self.config.network}.{subnet}.{host + 1}"
-        machine = SimulatedWorker(self, request, f"{address}:{self.config.port}")
+        port = self.config.advertised_port or self.config.port
+        machine = SimulatedWorker(self, request, f"{address}:{port}")
         self.machines[request.name] = machine
         server = HttpServer((address, self.config.port), machine.handle, 16, 60.0)
         await curio.spawn(server.run, daemon=True)
--- a/standins/state.py
+++ b/standins/state.py
@@ -64,6 +64,7 @@
         self.revision = 1
         self.change_log: list[api.Event] = []
         self.leases: dict[int, Lease] = {}
+        self.last_lease_id = 0
         self.lease_by_key: dict[str, int] = {}
         self.outage_until = 0.0
         self.stats = StateStats()
@@ -122,7 +123,8 @@
     def grant_lease(self, request: api.LeaseRequest) -> Response:
         """Grant a lease."""
         ttl_s = request.ttl_ms / 1000
-        lease_id = max(self.leases, default=0) + 1 + self.revision
+        self.last_lease_id += 1
+        lease_id = self.last_lease_id
         self.leases[lease_id] = Lease(time.monotonic() + ttl_s, ttl_s)
         return json_response(api.LeaseGrant(lease_id))
 
