Show by a test: an acceptance is answered as queued after the job's cancellation was confirmed

What callers saw: a submission is answered 201 queued by the controller that has told another request of the same user that the job is cancelled.

--- a/tests/test_read_consistency.py
+++ b/tests/test_read_consistency.py
@@ -13,6 +13,7 @@
 from starlingdeck.protocol import api
 from starlingdeck.storage import records
 from starlingdeck.storage.state import StateError
+from starlingdeck.transport.server import Request, Response
 from tests.support.builders import job_body
 from tests.support.simulated_cluster import SimulatedCluster, run_simulation
 from tests.test_concurrent_failures import inject_failure, job_of_shard
@@ -222,3 +223,46 @@
         return cluster.reported_terminal[name][0]
 
     assert run_simulation(monkeypatch, cluster, drive()) == api.CANCELLED
+
+
+def test_an_acceptance_answered_after_its_cancellation_was_confirmed_is_not_queued(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The answer to a submission's write came after another request had the owner read the job and
+    confirm its cancellation, whose end could not be written yet: the submitter was told queued."""
+    cluster = SimulatedCluster(8)
+
+    async def drive() -> Response:
+        await cluster.run(4.0)
+        name, client, owner = job_of_shard(0), cluster.clients[0], cluster.controllers[0]
+        original = client.transact
+
+        async def slow(conditions, changes, urgent=False):  # type: ignore[no-untyped-def]  # the signature of `transact`
+            if any(change.put == records.final_key(0, name) for change in changes):
+                raise StateError("429")
+            revision = await original(conditions, changes, urgent)
+            if records.final_key(0, name) in conditions:
+                await curio.sleep(1.5)
+            return revision
+
+        client.transact = slow  # type: ignore[method-assign]  # a test double
+        cluster.cancellation_requested.add(name)
+        cluster.jobs[name] = job_body(name)
+        body = msgspec.json.encode(cluster.jobs[name])
+        responses: list[Response] = []
+
+        async def submit() -> None:
+            responses.append(await owner.serve(Request("POST", api.JOBS, body)))
+
+        await cluster.spawn(submit)
+        await cluster.run(0.2)
+        assert await cluster.request(0, "POST", f"{api.JOBS}/{name}/{api.CANCEL}") == 200
+        assert cluster.reported_terminal[name][0] == api.CANCELLED
+        await cluster.run(2.0)
+        client.transact = original  # type: ignore[method-assign]  # the end can be written again
+        return responses[0]
+
+    response = run_simulation(monkeypatch, cluster, drive())
+    answered = response.status in (200, 201)
+    state = msgspec.json.decode(response.body, type=api.JobStatus).state if answered else ""
+    assert (response.status, state) in ((503, ""), (200, api.CANCELLED))
