--- a/standins/soak/broken_controller.py
+++ b/standins/soak/broken_controller.py
@@ -6,14 +6,16 @@
 import sys
 from collections.abc import Callable
 
-from starlingdeck.api.stored_status import StoredStatusReader
+from starlingdeck.api.stored_status import Acknowledgement, StoredStatusReader
 from starlingdeck.cli import start
 from starlingdeck.cluster.state_lease import StateLease
 
 
 def _remove_acknowledgement() -> None:
-    async def acknowledged(_self: StoredStatusReader, _shard: int, _name: str) -> bool:
-        return True
+    async def acknowledged(
+        _self: StoredStatusReader, _shard: int, _name: str
+    ) -> Acknowledgement | None:
+        return Acknowledgement.MAILBOX_EMPTY
 
     StoredStatusReader.owner_acknowledged = acknowledged  # type: ignore[assignment, method-assign]
 
--- a/starlingdeck/api/store_handler.py
+++ b/starlingdeck/api/store_handler.py
@@ -71,6 +71,10 @@
                 return error_response(503, "the job is changing")
             log.info("job cancelled without owner: job=%s shard=%d", name, shard)
         # The cancellation is durable, but is not reported to any user before the owner knows of it.
-        if not await self.stored_status.owner_acknowledged(shard, name):
+        reason = await self.stored_status.owner_acknowledged(shard, name)
+        if reason is None:
             return error_response(503, CANCELLATION_UNACKNOWLEDGED)
+        log.info(
+            "cancellation confirmed without owner: job=%s shard=%d reason=%s", name, shard, reason
+        )
         return json_response(200, api.JobStatus(name, api.CANCELLED))
--- a/starlingdeck/api/stored_status.py
+++ b/starlingdeck/api/stored_status.py
@@ -1,5 +1,8 @@
 """Reads a job's status from the state service: its record, the commit log, its terminal state."""
 
+import logging
+from enum import StrEnum
+
 import curio
 import msgspec
 
@@ -14,11 +17,21 @@
 from starlingdeck.storage.records import FinalRecord, JobRecord, ShardValue
 from starlingdeck.transport.server import Response
 
+log = logging.getLogger(__name__)
+
 ACKNOWLEDGEMENT_TIMEOUT_S = 0.8  # wait for the owner to take a cancellation's mailbox entry
 ACKNOWLEDGEMENT_POLL_S = 0.1
 CANCELLATION_UNACKNOWLEDGED = "the job's holder has not heard of its cancellation yet"
 
 
+class Acknowledgement(StrEnum):
+    """Why no owner of a shard can still report a job's state from before a change."""
+
+    MAILBOX_EMPTY = "mailbox_empty"  # the owner has handled the change's entry
+    SHARD_UNOWNED = "shard_unowned"  # the next owner reads the record first
+    OWNER_CHANGED = "owner_changed"  # the owner of the time of the change is not one any more
+
+
 class StoredStatusReader:
     """Answers status queries from the state service."""
 
@@ -55,6 +68,7 @@
         shard = shard_of_job(name, self.services.context.shard_count)
         if record.cancelled:
             acknowledged = owned.cancelled if owned else await self.owner_acknowledged(shard, name)
+            log.debug("cancellation read: job=%s acknowledged=%s", name, acknowledged)
             if not acknowledged:
                 return error_response(503, CANCELLATION_UNACKNOWLEDGED)
         completed = await self._completed_tasks(shard, record, changes, owned)
@@ -107,11 +121,12 @@
                     chunks[number] = _completed_bits(chunk)
         return chunks
 
-    async def owner_acknowledged(self, shard: int, name: str) -> bool:
-        """Return whether no owner can still report a job's state from before a change.
+    async def owner_acknowledged(self, shard: int, name: str) -> Acknowledgement | None:
+        """Return why no owner can still report a job's state from before a change.
 
-        This is certain once the owner has taken the change's mailbox entry, or no longer owns the
-        shard: a later owner reads the record first. Wait up to ACKNOWLEDGEMENT_TIMEOUT_S.
+        Return None if one may. It is certain that none can once the owner has taken the change's
+        mailbox entry, or no longer owns the shard: a later owner reads the record first. Wait up
+        to ACKNOWLEDGEMENT_TIMEOUT_S.
         Without this, an owner that had just come through an outage answered that a job was
         running, although another controller had confirmed its cancellation to its user.
         """
@@ -119,13 +134,15 @@
         deadline, first_epoch = context.now() + ACKNOWLEDGEMENT_TIMEOUT_S, None
         while True:
             if await state.get(records.mailbox_key(shard, name), True) is None:
-                return True
+                return Acknowledgement.MAILBOX_EMPTY
             entry = await state.get(records.shard_key(shard), True)
             epoch = msgspec.json.decode(entry.value, type=ShardValue).epoch if entry else None
-            if epoch is None or (first_epoch is not None and epoch != first_epoch):
-                return True
+            if epoch is None:
+                return Acknowledgement.SHARD_UNOWNED
+            if first_epoch is not None and epoch != first_epoch:
+                return Acknowledgement.OWNER_CHANGED
             if context.now() >= deadline:
-                return False
+                return None
             first_epoch = epoch
             await curio.sleep(ACKNOWLEDGEMENT_POLL_S)
 
--- a/starlingdeck/cluster/ownership.py
+++ b/starlingdeck/cluster/ownership.py
@@ -185,17 +185,22 @@
         # owner's takeover, would record an `end_ms` that was computed before that takeover.
         conditions = {key: key_version, takeover_key: self.takeover_versions.get(shard, 0)}
         value = ShardValue(self.context.node, epoch, end_ms, self.may_have_commit_log(shard))
-        changes = [
-            put_change(key, value, self.lease.lease_id),
-            put_change(takeover_key, self.context.node),
-        ]
+        lease_id = self.lease.lease_id
+        changes = [put_change(key, value, lease_id), put_change(takeover_key, self.context.node)]
         token = await self.state.transact(conditions, changes, True)
         self.takeover_versions[shard] = token
         self.former_renewals_end_ms[shard] = end_ms
         self.owned[shard] = self.owners[shard] = ShardOwner(self.context.node, token, epoch)
         self.shard_keys.pop(shard, None)
         self.unowned_since.pop(shard, None)
-        log.info("shard acquired: shard=%d token=%d", shard, token)
+        log.info(
+            "shard acquired: shard=%d token=%d epoch=%d lease=%d lease_certain_s=%.3f",
+            shard,
+            token,
+            epoch,
+            lease_id,
+            self.lease.certain_s(),
+        )
         await self.hooks.on_shard_acquired(shard, token, epoch, renewal_s)
 
     def may_have_commit_log(self, shard: int) -> bool:
@@ -237,7 +242,9 @@
         """Stop serving a shard, if this process owns it. Its key is left unchanged."""
         current = self.owned.pop(shard, None)
         if current is not None:
-            log.info("shard released: shard=%d token=%d", shard, current.token)
+            log.info(
+                "shard released: shard=%d token=%d epoch=%d", shard, current.token, current.epoch
+            )
             await self.hooks.on_shard_lost(shard)
 
     async def release_all(self) -> None:
--- a/starlingdeck/cluster/state_lease.py
+++ b/starlingdeck/cluster/state_lease.py
@@ -45,7 +45,13 @@
 
         While it exists, no other controller can have taken over a shard of this one.
         """
-        return self.lease_id > 0 and self.context.now() < self.renewed_at + self._safe_ttl_s()
+        return self.certain_s() > 0
+
+    def certain_s(self) -> float:
+        """Return for how many more seconds the lease certainly exists; 0 or less if not now."""
+        if not self.lease_id:
+            return 0.0
+        return self.renewed_at + self._safe_ttl_s() - self.context.now()
 
     def may_renew_worker_leases(self) -> bool:
         """Return whether workers' leases may be renewed.
--- a/starlingdeck/controller/worker_caller.py
+++ b/starlingdeck/controller/worker_caller.py
@@ -1,5 +1,7 @@
 """Calls from the controller to workers: commands, probes and announcements of a new token."""
 
+import logging
+
 import curio
 import msgspec
 from msgspec import Struct
@@ -12,6 +14,8 @@
 from starlingdeck.protocol import peer_pb2 as pb
 from starlingdeck.transport.client import ConnectionFailedError, HttpClient, NoResponseError
 
+log = logging.getLogger(__name__)
+
 RESERVED_CONNECTIONS = 16  # connections of the HTTP client left to the state service and the cloud
 MIN_CALLS_IN_FLIGHT = 8  # lower bound for the limit of calls in flight
 CONNECTION_POLL_S = 0.1  # interval between checks whether another call may be made
@@ -103,6 +107,7 @@
         try:
             body = msgspec.json.encode(commands)
             timeout_s = self.context.tuning.reply_wait_s
+            log.debug("commands sent: address=%s %s", address, commands)
             reply = await self.http.call(address, "POST", api.COMMANDS, body, timeout_s)
             report = api.decode_report(reply.body)
             if machines.is_deleted(report.machine):
--- a/starlingdeck/jobs/loader.py
+++ b/starlingdeck/jobs/loader.py
@@ -56,7 +56,8 @@
     async def load(self) -> None:
         """Read the shard's unfinished jobs after taking it over."""
         shard = self.shard.shard
-        mains, _ = await self.state.read(records.job_prefix(shard))
+        began_at = self.context.now()
+        mains, revision = await self.state.read(records.job_prefix(shard))
         chunk_entries, _ = await self.state.read(records.chunk_prefix(shard))
         segments, _ = await self.state.read(log_prefix(shard))
         contents = read_segments(segments)
@@ -83,7 +84,14 @@
                 self.context.quarantine_after_failure("record", entry.key, error)
                 commit_log.pin(logged.slot for logged in contents.changes_of(name))
         self.shard.loaded = True
-        log.info("shard jobs loaded: shard=%d unfinished_jobs=%d", shard, len(mains))
+        log.info(
+            "shard jobs loaded: shard=%d unfinished_jobs=%d token=%d revision=%d seconds=%.3f",
+            shard,
+            len(mains),
+            self.shard.token,
+            revision,
+            self.context.now() - began_at,
+        )
 
     def _decode_chunks(self, entries: list[api.Entry]) -> tuple[dict[str, FurtherChunks], set[str]]:
         """Return the further chunks by job, and the jobs with a chunk that can't be read.
@@ -131,6 +139,14 @@
         if old is not None:
             _keep_observed(job, old, entry.version)
         self.shard.adopt(job)
+        log.debug(
+            "job read: job=%s version=%d former_version=%d cancelled=%s completed=%d",
+            job.id,
+            entry.version,
+            old.key_versions.get(0, 0) if old is not None else 0,
+            job.cancelled,
+            job.completed,
+        )
         return job
 
     async def reload(self, name: str) -> Job | None:
--- a/starlingdeck/machines/commands.py
+++ b/starlingdeck/machines/commands.py
@@ -104,10 +104,12 @@
             commands.append(api.Command(api.START, name, launch.attempt))
             if launch.deliveries == 1:
                 log.info(
-                    "task start sent: task=%s attempt=%d machine=%s",
+                    "task start sent: task=%s attempt=%d machine=%s token=%d session=%d",
                     name,
                     launch.attempt,
                     machine.name,
+                    self.state.token,
+                    machine.session,
                 )
         return commands
 
