Don't serve a shard whose key was attached to a lease that has ended

A job whose cancellation had been confirmed by the shard's owner was reported as running by another controller.

Cause: ShardOwnership.acquire names the present lease in its transaction, waits for the answer and then records the ownership. If the lease ends during that wait, its key goes, the next controller takes the shard over, and the sender has obtained a new lease when the answer comes. lease_is_valid asks about the new lease, so the sender took itself for the owner beside the next one; the key's deletion had passed its watch before it recorded anything. It answered from memory until a newer key or gossip reached it.

Why this works: after the wait the lease that the key is attached to must still be the present one. A lease is replaced only once the state service has said that it has ended, and then release_all drops what is recorded; so an ownership is recorded only while its key exists, or is dropped with its lease. Each shard of one round is looked at under a lease that was asked for anew: the wait for one takeover may outlast the lease that the round began with.

--- a/starlingdeck/cluster/membership.py
+++ b/starlingdeck/cluster/membership.py
@@ -168,9 +168,9 @@
 
     async def reconcile_ownership(self) -> None:
         """Take over unowned shards, and hand back those of controllers that have returned."""
-        if not (self.synced and self.lease_is_valid()):
-            return
         for shard in range(self.context.shard_count):
+            if not (self.synced and self.lease_is_valid()):
+                return
             try:
                 await self.ownership.reconcile(shard, self.live_nodes)
             except (StateError, LeaseLostError, TransactionConflictError) as error:
--- a/starlingdeck/cluster/ownership.py
+++ b/starlingdeck/cluster/ownership.py
@@ -18,7 +18,7 @@
 from starlingdeck.protocol import api
 from starlingdeck.storage import records
 from starlingdeck.storage.records import ShardValue
-from starlingdeck.storage.state import StateClient, delete_change, put_change
+from starlingdeck.storage.state import LeaseLostError, StateClient, delete_change, put_change
 
 log = logging.getLogger(__name__)
 
@@ -175,8 +175,9 @@
 
         `key_version` is the version that the key must have now, 0 if it must not exist. Former
         owners may renew workers' leases for another `renewal_s` seconds. Raises
-        TransactionConflictError when another controller has written the key first, and the other
-        errors of StateClient.transact.
+        TransactionConflictError when another controller has written the key first,
+        LeaseLostError when the lease that the key is attached to has ended, and the other errors
+        of StateClient.transact.
         """
         epoch = self.context.rng.getrandbits(EPOCH_BITS)
         key, takeover_key = records.shard_key(shard), records.takeover_key(shard)
@@ -188,6 +189,10 @@
         lease_id = self.lease.lease_id
         changes = [put_change(key, value, lease_id), put_change(takeover_key, self.context.node)]
         token = await self.state.transact(conditions, changes, True)
+        if self.lease.lease_id != lease_id:
+            # The key went with that lease; another controller may own the shard by now.
+            log.info("shard acquisition void: shard=%d token=%d lease=%d", shard, token, lease_id)
+            raise LeaseLostError
         self.takeover_versions[shard] = token
         self.former_renewals_end_ms[shard] = end_ms
         self.owned[shard] = self.owners[shard] = ShardOwner(self.context.node, token, epoch)
