Give every answer about a job through one guard, after its last wait

What callers saw: a submission answered 201 queued by the controller that had confirmed the job's cancellation to another request of the same user; in general, an answer formed before a wait and given after it.

Cause: the right to answer (lease, loaded) and the job's state were looked at before waits for the writer's lock, a reload or the state service, and differently on each path: OwnerJobHandler._create looked only at terminal_states, and _existing_status answered from memory without the test for outcomes that are unknown, which handle makes.

Why this works: every answer is a JobAnswer with typed evidence (source, shard, epoch, token, revision, when it was read) and passes AnswerGuard.admit after the last wait.

--- a/standins/soak/run.py
+++ b/standins/soak/run.py
@@ -21,7 +21,7 @@
 MAX_WAIT_S = 90.0  # of a job while machines have capacity, once all faults are over
 SURROUNDING_S = 2.0  # exchanges this close to a break are printed
 SURROUNDING_FAULTS_S = 15.0
-VIOLATION_MARK = "ANSWER VIOLATION"  # in a controller's log
+VIOLATION_MARK = "answer violation"  # in a controller's log
 
 
 class SoakResult(Struct):
--- a/starlingdeck/api/job_api.py
+++ b/starlingdeck/api/job_api.py
@@ -4,11 +4,14 @@
 
 import msgspec
 
+from starlingdeck.api.answer_guard import AnswerGuard
+from starlingdeck.api.answers import Evidence, JobAnswer, Source, ask_again
 from starlingdeck.api.job_request import JobApiServices, JobRequest, Operation
 from starlingdeck.api.job_router import JobRouter
 from starlingdeck.api.responses import error_response
 from starlingdeck.api.stored_status import StoredStatusReader
 from starlingdeck.api.submission import infeasibility_reason, oversize_reason
+from starlingdeck.cluster.sharding import shard_of_job
 from starlingdeck.metrics import counters
 from starlingdeck.protocol import api
 from starlingdeck.protocol import peer_pb2 as pb
@@ -17,7 +20,7 @@
 
 MAX_REQUESTS_IN_FLIGHT = 200
 
-Handler = Callable[[JobRequest], Awaitable[Response]]
+Handler = Callable[[JobRequest], Awaitable[JobAnswer]]
 
 
 class JobApi:
@@ -26,7 +29,8 @@
     def __init__(self, services: JobApiServices) -> None:
         self.services = services
         self.stored_status = StoredStatusReader(services)
-        self.router = JobRouter(services, self.stored_status)
+        self.guard = AnswerGuard(services.context, services.membership, services.writers)
+        self.router = JobRouter(services, self.stored_status, self.guard)
         self.in_flight = 0
 
     async def handle(self, request: Request) -> Response:
@@ -52,14 +56,15 @@
 
     async def handle_forwarded(self, forwarded: pb.ForwardRequest) -> pb.ForwardReply:
         """Handle a request that a peer has forwarded here."""
-        return await self.router.handle_forwarded(forwarded)
+        answer = self.guard.admit(await self.router.handle_forwarded(forwarded))
+        return pb.ForwardReply(status=answer.status, body=answer.response().body)
 
     async def _handle_bounded(self, handler: Handler, request: JobRequest) -> Response:
         if self.in_flight >= MAX_REQUESTS_IN_FLIGHT:
             return error_response(429, "too many requests at once")
         self.in_flight += 1
         try:
-            return await handler(request)
+            return self.guard.admit(await handler(request)).response()
         except StateError as error:
             return error_response(503, f"the state service can't be used now: {error}")
         except msgspec.DecodeError as error:
@@ -69,7 +74,7 @@
         finally:
             self.in_flight -= 1
 
-    async def _submit(self, request: JobRequest) -> Response:
+    async def _submit(self, request: JobRequest) -> JobAnswer:
         """Validate and route a submission.
 
         A job that was accepted before is reported even if its submission is no longer valid.
@@ -84,7 +89,7 @@
         if reason := oversize_reason(context, spec):
             return await self._stored_status_or_error(spec.id, 400, reason)
         if not context.machine_types:
-            return error_response(503, "machine types not known yet")
+            return ask_again(spec.id, "machine types not known yet")
         reason = infeasibility_reason(context, spec)
         reason = reason or await self.services.admission.rejection_reason(spec)
         if reason:
@@ -93,6 +98,12 @@
         context.counters.increment(spec.team, spec.cls, counters.OFFERED)
         return await self.router.route(JobRequest(Operation.SUBMIT, spec.id, request.body))
 
-    async def _stored_status_or_error(self, name: str, status: int, reason: str) -> Response:
-        stored = await self.stored_status.status(name) if name else None
-        return stored or error_response(status, reason)
+    async def _stored_status_or_error(self, name: str, status: int, reason: str) -> JobAnswer:
+        error = api.ErrorBody(reason)
+        if not name:
+            return JobAnswer(name, status, error)
+        context = self.services.context
+        shard = shard_of_job(name, context.shard_count)
+        evidence = Evidence(Source.STORE, shard, context.now())
+        stored = await self.stored_status.status(name)
+        return stored or JobAnswer(name, status, error, evidence)
--- a/starlingdeck/api/stored_status.py
+++ b/starlingdeck/api/stored_status.py
@@ -5,9 +5,10 @@
 
 import curio
 import msgspec
+from msgspec.structs import replace
 
+from starlingdeck.api.answers import Evidence, JobAnswer, Source, ask_again
 from starlingdeck.api.job_request import JobApiServices
-from starlingdeck.api.responses import error_response, json_response
 from starlingdeck.cluster.sharding import shard_of_job
 from starlingdeck.jobs.job import Job
 from starlingdeck.jobs.log_reader import LogReader
@@ -15,7 +16,6 @@
 from starlingdeck.storage import records
 from starlingdeck.storage.commit_log import LoggedChange, completed_by_chunk, replay
 from starlingdeck.storage.records import FinalRecord, JobRecord, ShardValue
-from starlingdeck.transport.server import Response
 
 log = logging.getLogger(__name__)
 
@@ -39,7 +39,7 @@
         self.services = services
         self.log_reader = LogReader()
 
-    async def status(self, name: str, owned: Job | None = None) -> Response | None:
+    async def status(self, name: str, owned: Job | None = None) -> JobAnswer | None:
         """Return the status of a job; None if the state service doesn't know the job.
 
         The key of the unfinished job is read before that of its terminal state, because a job
@@ -49,32 +49,46 @@
         """
         state = self.services.state
         shard = shard_of_job(name, self.services.context.shard_count)
+        evidence = Evidence(Source.STORE, shard, self.services.context.now())
         # Read before the record: what a checkpoint removes from the log in between is then in the
         # record.
         changes = await self._log_changes(shard, name)
         entry = await state.get(records.job_key(shard, name), True)
         if entry is not None:
             record = msgspec.json.decode(entry.value, type=JobRecord)
-            return await self._unfinished_status(name, record, changes, owned)
+            evidence = replace(
+                evidence, revision=entry.version, cancellation_recorded=record.cancelled
+            )
+            return await self._unfinished_status(evidence, record, changes, owned)
         entry = await state.get(records.final_key(shard, name), True)
         if entry is not None:
             final = msgspec.json.decode(entry.value, type=FinalRecord)
-            return json_response(200, terminal_status(name, final.state, final.completed))
+            evidence = replace(
+                evidence,
+                revision=entry.version,
+                cancellation_recorded=final.state == api.CANCELLED,
+            )
+            status = terminal_status(name, final.state, final.completed)
+            return JobAnswer(name, 200, status, evidence)
         return None
 
     async def _unfinished_status(
-        self, name: str, record: JobRecord, changes: list[LoggedChange], owned: Job | None
-    ) -> Response:
-        shard = shard_of_job(name, self.services.context.shard_count)
+        self,
+        evidence: Evidence,
+        record: JobRecord,
+        changes: list[LoggedChange],
+        owned: Job | None,
+    ) -> JobAnswer:
+        shard, name = evidence.shard, record.spec.id
         if record.cancelled:
             acknowledged = owned.cancelled if owned else await self.owner_acknowledged(shard, name)
             log.debug("cancellation read: job=%s acknowledged=%s", name, acknowledged)
             if not acknowledged:
-                return error_response(503, CANCELLATION_UNACKNOWLEDGED)
+                return ask_again(name, CANCELLATION_UNACKNOWLEDGED)
         completed = await self._completed_tasks(shard, record, changes, owned)
         running = len(replay({0: record.chunk}, changes)[0].placements)
         state = api.CANCELLED if record.cancelled else api.RUNNING if running else api.QUEUED
-        return json_response(200, api.JobStatus(name, state, completed, running))
+        return JobAnswer(name, 200, api.JobStatus(name, state, completed, running), evidence)
 
     async def _log_changes(self, shard: int, name: str) -> list[LoggedChange]:
         """Return a job's changes in the commit log; empty if the shard's records are complete."""
--- a/starlingdeck/controller/controller.py
+++ b/starlingdeck/controller/controller.py
@@ -238,6 +238,7 @@
             writers=self.writers,
             machines=self.machines,
             admission=self.admission,
+            answers=self.job_api.guard,
             overload=self.overload,
         )
 
--- a/starlingdeck/controller/metrics_report.py
+++ b/starlingdeck/controller/metrics_report.py
@@ -6,6 +6,7 @@
 import curio
 from msgspec import Struct
 
+from starlingdeck.api.answer_guard import AnswerGuard
 from starlingdeck.context import ControllerContext
 from starlingdeck.jobs.admission import AdmissionController
 from starlingdeck.jobs.job import Job
@@ -30,6 +31,7 @@
     writers: Mapping[int, RecordWriter]
     machines: Mapping[int, MachineShard]
     admission: AdmissionController
+    answers: AnswerGuard
     overload: OverloadController | None
 
     async def run(self) -> None:
@@ -51,6 +53,7 @@
         if self.overload is not None:
             yield from self.overload.lines()
         yield connection_line(self.http_server)
+        yield self.answers.line()
         yield from reachability_lines(self.machines)
         yield from starvation_lines(self.context, self.writers, self.admission)
 
--- a/tests/support/simulated_cluster.py
+++ b/tests/support/simulated_cluster.py
@@ -663,6 +663,9 @@
         """Raise the first error of a spawned task, and check the tasks that run now."""
         if self.background_errors:
             raise self.background_errors[0]
+        for number, controller in enumerate(self.controllers):
+            if violations := controller.job_api.guard.counts.violations:
+                raise InvariantViolationError(f"answer violation: {violations} at {number}")
         now, used = self.clock.at, 0.0
         for worker, name, task in self.live_tasks():
             job = name.split("/")[0]
--- a/tests/test_invariant_checks.py
+++ b/tests/test_invariant_checks.py
@@ -7,6 +7,8 @@
 import pytest
 
 from starlingdeck import context
+from starlingdeck.jobs.job import Job
+from starlingdeck.jobs.job_shard import JobShard
 from starlingdeck.protocol import api
 from starlingdeck.transport.server import Request, Response
 from tests.support.reference_model import FakeWorker, InvariantViolationError
@@ -223,3 +225,18 @@
     cluster = SimulatedCluster(3, limit=24.0, zones=zones or ("a", "a", "a"))
     with pytest.raises((InvariantViolationError, AssertionError), match=violation):
         run_simulation(monkeypatch, cluster, scenario(cluster, monkeypatch))
+
+
+def test_an_answer_that_its_own_controller_contradicts_is_detected(monkeypatch: Patch) -> None:
+    cluster = SimulatedCluster(4)
+
+    def cancelled(_shard: JobShard, job: Job) -> api.JobStatus:
+        return api.JobStatus(job.id, api.CANCELLED)
+
+    async def drive() -> None:
+        await run_one_job(cluster)
+        monkeypatch.setattr(JobShard, "status", cancelled)
+        await query(cluster)
+
+    with pytest.raises(InvariantViolationError, match="answer violation"):
+        run_simulation(monkeypatch, cluster, drive())
