--- a/standins/soak/run.py
+++ b/standins/soak/run.py
@@ -11,6 +11,7 @@
 from standins.scale.run import EventReceiver, PortsTakenError
 from standins.soak.faults import FaultInjector
 from standins.soak.history import BrokenRule, Exchange, surrounding
+from standins.soak.logs import ControllerLogs
 from standins.soak.plan import SoakPlan, draw_faults
 from standins.soak.site import SoakSite
 from standins.soak.users import SoakUsers
@@ -21,7 +22,6 @@
 MAX_WAIT_S = 90.0  # of a job while machines have capacity, once all faults are over
 SURROUNDING_S = 2.0  # exchanges this close to a break are printed
 SURROUNDING_FAULTS_S = 15.0
-VIOLATION_MARK = "answer violation"  # in a controller's log
 
 
 class SoakResult(Struct):
@@ -49,6 +49,7 @@
         self.checker = Checker(limits.cancel_s, settings.team_cpus_max)
         self.users = SoakUsers(settings, self.site.public, self.checker, plan.seed)
         self.injector = FaultInjector(self.site)
+        self.logs = ControllerLogs([folder / f"n-{i}.log" for i in range(plan.controllers)])
 
     async def run(self) -> SoakResult:
         """Run the plan. Raises RuntimeError if a process ends by itself."""
@@ -66,8 +67,9 @@
             ]
             tasks += injections
             await self._evaluate_until(lambda: time.monotonic() > started_at + self.plan.seconds)
-            for injection in injections:
-                await injection.join()
+            if not self._is_broken():
+                for injection in injections:
+                    await injection.join()
             result = await self._finish()
             result.faults = len(faults)
             return result
@@ -76,11 +78,16 @@
                 await task.cancel()
             self.site.stop()
 
+    def _is_broken(self) -> bool:
+        found = self.checker.violations or self.users.history.broken or self.logs.violations
+        return bool(found)
+
     async def _evaluate_until(self, is_over: Callable[[], bool]) -> None:
         """Evaluate the workers' events until `is_over` or a rule is broken."""
-        while not (is_over() or self.checker.violations or self.users.history.broken):
+        while not (is_over() or self._is_broken()):
             await curio.sleep(EVALUATION_INTERVAL_S)
             self.checker.evaluate(time.monotonic() - EVENT_DELAY_S)
+            self.logs.read_new_lines()
             self.site.check_alive()
 
     async def _finish(self) -> SoakResult:
@@ -92,7 +99,7 @@
             lambda: not self.users.unfinished() or time.monotonic() > deadline
         )
         result = SoakResult(quiet_s=time.monotonic() - healed_at)
-        if not (self.checker.violations or self.users.history.broken):
+        if not self._is_broken():
             result.broken += self._unfinished_violations(healed_at)
             await self.users.ask_finished()
         await curio.sleep(EVENT_DELAY_S)
@@ -121,8 +128,9 @@
         ]
         if history.broken:
             result.history = self._history_round(history.broken[0])
-        result.broken += self._logged_violations()
-        result.acquisitions = sum("shard acquired" in line for line in self._controller_lines())
+        self.logs.read_new_lines()
+        result.broken += self.logs.violations
+        result.acquisitions = self.logs.acquisitions
         result.jobs = len(self.users.jobs)
         result.cancelled = len(self.checker.cancelled)
         result.requests, result.refused = self.users.requests, self.users.refused
@@ -139,17 +147,6 @@
         ]
         return lines
 
-    def _controller_lines(self) -> list[str]:
-        lines: list[str] = []
-        for number in range(self.plan.controllers):
-            path = self.site.folder / f"n-{number}.log"
-            lines += path.read_text(errors="replace").splitlines() if path.exists() else []
-        return lines
-
-    def _logged_violations(self) -> list[str]:
-        """Return the violations that controllers have found in their own answers."""
-        return [line for line in self._controller_lines() if VIOLATION_MARK in line]
-
 
 def run_soak(plan: SoakPlan, folder: Path, broken_safeguard: str = "") -> SoakResult:
     """Run a plan; its settings and logs stay in `folder`.
