--- a/tests/test_read_consistency.py
+++ b/tests/test_read_consistency.py
@@ -18,6 +18,10 @@
 from tests.support.simulated_cluster import SimulatedCluster, run_simulation
 from tests.test_concurrent_failures import inject_failure, job_of_shard
 
+# Both are less than a transaction's time-out.
+TAKEOVER_ANSWER_DELAY_S = 1.5
+SUBMISSION_DELAY_S = 1.5
+
 
 async def ask_all(cluster: SimulatedCluster, name: str) -> None:
     for number in range(3):
@@ -130,6 +134,20 @@
     assert done >= 2
 
 
+def delay_answer_of_submission(cluster: SimulatedCluster, name: str) -> None:
+    """Execute the owner's write of a submission at once, and answer it SUBMISSION_DELAY_S later."""
+    client = cluster.clients[0]
+    original = client.transact
+
+    async def slow(conditions, changes, urgent=False):  # type: ignore[no-untyped-def]  # the signature of `transact`
+        revision = await original(conditions, changes, urgent)
+        if records.final_key(0, name) in conditions:
+            await curio.sleep(SUBMISSION_DELAY_S)
+        return revision
+
+    client.transact = slow  # type: ignore[method-assign]  # a test double
+
+
 def test_job_that_ends_before_its_submission_is_answered_stays_ended(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
@@ -140,16 +158,8 @@
 
     async def drive() -> list[str]:
         await cluster.run(4.0)
-        name, client = job_of_shard(0), cluster.clients[0]
-        original = client.transact
-
-        async def slow(conditions, changes, urgent=False):  # type: ignore[no-untyped-def]  # the signature of `transact`
-            revision = await original(conditions, changes, urgent)
-            if records.final_key(0, name) in conditions:
-                await curio.sleep(1.5)
-            return revision
-
-        client.transact = slow  # type: ignore[method-assign]  # a test double
+        name = job_of_shard(0)
+        delay_answer_of_submission(cluster, name)
         cluster.cancellation_requested.add(name)
         cluster.jobs[name] = job_body(name)
         body = msgspec.json.encode(cluster.jobs[name])
@@ -167,12 +177,8 @@
     assert set(run_simulation(monkeypatch, cluster, drive())) == {"cancelled"}
 
 
-TAKEOVER_ANSWER_DELAY_S = 1.5  # less than a transaction's time-out
-
-
 def delay_takeover_past_the_lease(cluster: SimulatedCluster, number: int, from_s: float) -> None:
-    """Answer a controller's next takeover late, and refuse its renewals from `from_s` until its
-    lease has ended."""
+    """Answer the next takeover late; refuse renewals from `from_s` until the lease has ended."""
     client = cluster.clients[number]
     transact, renew = client.transact, client.renew
     renewed_since: list[int] = []  # the lease that was renewed once more after `from_s`
@@ -198,8 +204,7 @@
 def test_a_shard_acquired_under_a_lease_that_has_ended_is_not_answered_for(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    """A takeover was answered after its lease had ended and a new one was obtained: its sender took
-    itself for the owner beside the next one, and reported a cancelled job as queued."""
+    """The takeover is answered once its sender has a new lease and the shard another owner."""
     cluster = SimulatedCluster(7)
 
     async def drive() -> str:
@@ -228,24 +233,21 @@
 def test_an_acceptance_answered_after_its_cancellation_was_confirmed_is_not_queued(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    """The answer to a submission's write came after another request had the owner read the job and
-    confirm its cancellation, whose end could not be written yet: the submitter was told queued."""
+    """The answer to the submission's write comes late; the job's end can't be written meanwhile."""
     cluster = SimulatedCluster(8)
 
     async def drive() -> Response:
         await cluster.run(4.0)
         name, client, owner = job_of_shard(0), cluster.clients[0], cluster.controllers[0]
-        original = client.transact
+        delay_answer_of_submission(cluster, name)
+        delayed = client.transact
 
-        async def slow(conditions, changes, urgent=False):  # type: ignore[no-untyped-def]  # the signature of `transact`
+        async def without_ends(conditions, changes, urgent=False):  # type: ignore[no-untyped-def]  # the signature of `transact`
             if any(change.put == records.final_key(0, name) for change in changes):
                 raise StateError("429")
-            revision = await original(conditions, changes, urgent)
-            if records.final_key(0, name) in conditions:
-                await curio.sleep(1.5)
-            return revision
+            return await delayed(conditions, changes, urgent)
 
-        client.transact = slow  # type: ignore[method-assign]  # a test double
+        client.transact = without_ends  # type: ignore[method-assign]  # a test double
         cluster.cancellation_requested.add(name)
         cluster.jobs[name] = job_body(name)
         body = msgspec.json.encode(cluster.jobs[name])
@@ -259,7 +261,7 @@
         assert await cluster.request(0, "POST", f"{api.JOBS}/{name}/{api.CANCEL}") == 200
         assert cluster.reported_terminal[name][0] == api.CANCELLED
         await cluster.run(2.0)
-        client.transact = original  # type: ignore[method-assign]  # the end can be written again
+        client.transact = delayed  # type: ignore[method-assign]  # the end can be written again
         return responses[0]
 
     response = run_simulation(monkeypatch, cluster, drive())
