--- a/standins/soak/proxy.py
+++ b/standins/soak/proxy.py
@@ -162,6 +162,7 @@
                 while await self._write_next():
                     pass
         finally:
+            self.is_broken = True  # whatever is still held can't be delivered
             await reader.cancel()
 
     async def delivered(self) -> None:
