--- a/standins/scale/faults.py
+++ b/standins/scale/faults.py
@@ -104,8 +104,7 @@
 
     async def interrupt_state_service(self, fault: Fault) -> None:
         """Start an outage of the state service that lasts `for_s` seconds."""
-        body = msgspec.json.encode({"seconds": fault.for_s})
-        await self.site.request(self.site.state, "POST", "/out", body)
+        await self.site.begin_outage(fault.for_s)
 
     async def request_all_hosts(self, path: str, names: list[str]) -> None:
         """Post machine names to every worker host; a host ignores the names of other machines."""
--- a/standins/scale/site.py
+++ b/standins/scale/site.py
@@ -251,6 +251,11 @@
             raise RuntimeError(f"{address} does not answer")
         return msgspec.json.decode(reply.body, type=kind)
 
+    async def begin_outage(self, seconds: float) -> None:
+        """Begin an outage of the state service."""
+        body = msgspec.json.encode({"seconds": seconds})
+        await self.request(self.state, "POST", "/out", body)
+
     async def state_stats(self) -> StateStats:
         """Return the statistics of the state service."""
         return await self.fetch_stats(self.state, StateStats)
--- a/standins/soak/history.py
+++ b/standins/soak/history.py
@@ -11,12 +11,9 @@
 
 from msgspec import Struct
 
+from standins.scale.users import ACCEPTED_STATUSES, REFUSED_STATUSES, TERMINAL_STATES
 from starlingdeck.protocol import api
 
-ACCEPTED_STATUSES = (200, 201)
-DENIED_STATUSES = (400, 404, 422)
-TERMINAL_STATES = (api.DONE, api.CANCELLED)
-
 
 class RequestKind(StrEnum):
     """What a user asked for."""
@@ -97,19 +94,17 @@
         if kind is RequestKind.CANCEL and history.cancelled_at is None:
             history.cancelled_at = sent_at
 
-    def record_exchange(self, exchange: Exchange) -> list[BrokenRule]:
-        """Record an answer, in the order of arrival; return the rules that it breaks."""
+    def record_exchange(self, exchange: Exchange) -> None:
+        """Record an answer, in the order of arrival, and the rules that it breaks."""
         history = self.jobs[exchange.job]
-        broken = [
+        self.broken += [
             BrokenRule(rule, exchange, contradicts)
             for rule, contradicts in self._violations(history, exchange)
         ]
-        self.broken += broken
         history.exchanges.append(exchange)
-        return broken
 
     def _violations(self, history: JobHistory, exchange: Exchange) -> Iterable[tuple[str, str]]:
-        if exchange.status in DENIED_STATUSES:
+        if exchange.status in REFUSED_STATUSES:
             yield from self._denial_violations(history, exchange)
         if exchange.status not in ACCEPTED_STATUSES:
             return
--- a/standins/soak/run.py
+++ b/standins/soak/run.py
@@ -9,6 +9,7 @@
 
 from standins.scale.checker import EVENT_DELAY_S, Checker
 from standins.scale.run import EventReceiver, PortsTakenError
+from standins.scale.users import ANSWER_DEADLINE_S
 from standins.soak.faults import FaultInjector
 from standins.soak.history import BrokenRule, Exchange, surrounding
 from standins.soak.logs import ControllerLogs
@@ -18,7 +19,6 @@
 from starlingdeck.protocol.config import split_address
 
 EVALUATION_INTERVAL_S = 0.2
-MAX_UNANSWERED_S = 75.0  # of an accepted job's queries, once all faults are over
 MAX_WAIT_S = 90.0  # of a job while machines have capacity, once all faults are over
 SURROUNDING_S = 2.0  # exchanges this close to a break are printed
 SURROUNDING_FAULTS_S = 15.0
@@ -111,8 +111,8 @@
         """Return a violation for each job that is unanswered or has not ended in time."""
         found = []
         for job in self.users.unfinished():
-            if job.last_answered_at < healed_at + MAX_WAIT_S - MAX_UNANSWERED_S:
-                found.append(f"forgotten: {job.id} was not answered for {MAX_UNANSWERED_S:.0f} s")
+            if job.last_answered_at < healed_at + MAX_WAIT_S - ANSWER_DEADLINE_S:
+                found.append(f"forgotten: {job.id} was not answered for {ANSWER_DEADLINE_S:.0f} s")
             else:
                 found.append(
                     f"waits: {job.id} is {job.state!r} {MAX_WAIT_S:.0f} s after all faults"
--- a/standins/soak/site.py
+++ b/standins/soak/site.py
@@ -13,7 +13,6 @@
 from standins.soak.plan import LinkMode, SoakPlan
 from standins.soak.proxy import LinkCommand, LinkConfig, ProxyConfig
 from standins.soak.state import StateFault
-from starlingdeck.protocol import api
 from starlingdeck.protocol.config import split_address
 
 CONTROL_OFFSET = 3
@@ -161,13 +160,3 @@
     async def begin_state_fault(self, fault: StateFault) -> None:
         """Begin a fault of the state service towards one controller."""
         await self.request(self.state, "POST", "/faults", msgspec.json.encode(fault))
-
-    async def begin_outage(self, seconds: float) -> None:
-        """Begin an outage of the state service."""
-        body = msgspec.json.encode({"seconds": seconds})
-        await self.request(self.state, "POST", "/out", body)
-
-    async def is_healthy(self, number: int) -> bool:
-        """Return whether a controller says that users should use it."""
-        reply = await self.request(self.public[number], "GET", api.HEALTH)
-        return reply is not None and reply.status == 200
--- a/standins/soak/state.py
+++ b/standins/soak/state.py
@@ -75,7 +75,7 @@
     async def handle_client(self, client: int, request: Request) -> Response:
         """Handle a controller's request. Raises ConnectionError if it is to get no answer."""
         faults = self.faults[client]
-        if faults.is_active("refuse") and request.path != api.WATCH:
+        if faults.is_active("refuse"):
             return error_response(503, "refused")
         if request.path == api.WATCH:
             return await self._watch(faults, request)
@@ -84,9 +84,7 @@
         return await self.handle(request)
 
     async def _watch(self, faults: ClientFaults, request: Request) -> Response:
-        """Answer a watch; while the controller is refused, an open one waits."""
-        if faults.is_active("refuse"):
-            return error_response(503, "refused")
+        """Answer a watch; one that is open when the controller is refused waits."""
         response = await self.handle(request)
         while faults.is_active("refuse"):
             await curio.sleep(0.05)
--- a/standins/soak/users.py
+++ b/standins/soak/users.py
@@ -10,19 +10,18 @@
 from standins import workload
 from standins.scale.checker import Checker
 from standins.scale.plan import UserSettings
-from standins.scale.users import SubmittedJob, WorkloadGenerator
-from standins.soak.history import (
+from standins.scale.users import (
     ACCEPTED_STATUSES,
+    POLL_TIMEOUT_S,
+    SUBMIT_TIMEOUT_S,
     TERMINAL_STATES,
-    Exchange,
-    HistoryChecker,
-    RequestKind,
+    SubmittedJob,
+    WorkloadGenerator,
 )
+from standins.soak.history import Exchange, HistoryChecker, RequestKind
 from starlingdeck.protocol import api
 from starlingdeck.transport.client import HttpClient, NoResponseError
 
-STATUS_TIMEOUT_S = 2.0
-CHANGE_TIMEOUT_S = 5.0
 RETRY_S = 0.3
 JOBS_PER_S = 4.0
 CANCELLED_SHARE = 0.4
@@ -61,9 +60,9 @@
         """Send one request to one controller, and record it and its answer."""
         method, path = "GET", f"{api.JOBS}/{job}"
         body: bytes | None = None
-        timeout_s = STATUS_TIMEOUT_S
+        timeout_s = POLL_TIMEOUT_S
         if kind is not RequestKind.STATUS:
-            method, timeout_s = "POST", CHANGE_TIMEOUT_S
+            method, timeout_s = "POST", SUBMIT_TIMEOUT_S
             body = self.bodies[job] if kind is RequestKind.SUBMIT else b""
             path = api.JOBS if kind is RequestKind.SUBMIT else f"{path}/{api.CANCEL}"
         sent_at = time.monotonic()
--- a/starlingdeck/api/answer_guard.py
+++ b/starlingdeck/api/answer_guard.py
@@ -6,7 +6,7 @@
 import logging
 from collections.abc import Mapping
 
-from msgspec import Struct
+from msgspec import Struct, field
 
 from starlingdeck.api.answers import (
     ACCEPTED_STATUSES,
@@ -38,9 +38,7 @@
 class AnswerCounts(Struct):
     """Counts of answers since the start of the process."""
 
-    owner: int = 0
-    store: int = 0
-    peer: int = 0
+    admitted: dict[Source, int] = field(default_factory=lambda: dict.fromkeys(Source, 0))
     retry_ownership: int = 0  # the shard was not owned any more when the answer was ready
     retry_older: int = 0  # a newer answer was given while this one was being prepared
     violations: int = 0
@@ -125,7 +123,7 @@
 
     def _record(self, answer: JobAnswer, evidence: Evidence) -> None:
         now = self.context.now()
-        setattr(self.counts, evidence.source, getattr(self.counts, evidence.source) + 1)
+        self.counts.admitted[evidence.source] += 1
         if answer.status in ACCEPTED_STATUSES:
             self._remember(answer, now)
         if log.isEnabledFor(logging.DEBUG):
@@ -166,8 +164,9 @@
     def line(self) -> str:
         """Return the line of the metrics; counts are since the start of the process."""
         counts = self.counts
+        admitted = " ".join(f"{source}={count}" for source, count in counts.admitted.items())
         return (
-            f"answers: owner={counts.owner} store={counts.store} peer={counts.peer}"
+            f"answers: {admitted}"
             f" retry_ownership={counts.retry_ownership} retry_older={counts.retry_older}"
             f" violations={counts.violations}"
         )
--- a/starlingdeck/api/owner_handler.py
+++ b/starlingdeck/api/owner_handler.py
@@ -146,14 +146,14 @@
             spec.priority,
             spec.kind,
         )
+        shard.replicas_waiting |= spec.service
+        self.services.request_wake()
         if spec.id in shard.terminal_states or job.index in shard.jobs:
             # Before the response to the write arrived, other requests had the job read. It may be
             # cancelled or over by now.
             return await self._existing_status(writer, spec.id, began_at)
         job.key_versions[0] = revision
         shard.jobs[job.index] = job
-        shard.replicas_waiting |= spec.service
-        self.services.request_wake()
         return self._owner_answer(writer, 201, api.JobStatus(spec.id, api.QUEUED), job)
 
     async def _existing_status(self, writer: RecordWriter, name: str, began_at: float) -> JobAnswer:
--- a/tests/support/simulated_cluster.py
+++ b/tests/support/simulated_cluster.py
@@ -15,6 +15,7 @@
 import curio
 import msgspec
 
+from starlingdeck.api.answers import TERMINAL_STATES
 from starlingdeck.cluster.peers import PeerUnavailableError
 from starlingdeck.cluster.sharding import shard_of_machine
 from starlingdeck.controller.controller import Controller
@@ -43,7 +44,6 @@
 MAX_UNANSWERED_S = 75.0  # of the queries about an accepted job, after all failures ended
 TRANSACTION_TIMEOUT_S = 2.0  # how long a controller waits for the answer to a transaction
 MAX_WAIT_BESIDE_CAPACITY_S = 90.0  # of a task while capacity that fits it is free
-TERMINAL_STATES = (api.DONE, api.CANCELLED)
 real_sleep = curio.sleep
 
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -12,6 +12,7 @@
 from standins.soak.logs import ControllerLogs
 from standins.soak.plan import FaultKind, SoakPlan, draw_faults, plan_errors
 from starlingdeck.protocol import api
+from tests.support.ports import free_soak_port
 
 JOB = "j-1"
 SUBMIT, STATUS, CANCEL = RequestKind.SUBMIT, RequestKind.STATUS, RequestKind.CANCEL
@@ -125,15 +126,9 @@
     )
 
 
-def free_port() -> int:
-    with socket.socket() as trial:
-        trial.bind(("127.0.0.1", 0))
-        return 10_000 + int(trial.getsockname()[1]) % 20_000
-
-
 def test_a_taken_port_and_an_impossible_size_end_with_status_2() -> None:
     with socket.socket() as taken:
-        port = free_port()
+        port = free_soak_port(0)
         taken.bind(("127.0.0.1", port))
         taken.listen()
         result = run_script("--seed", "1", "--port", str(port - 20))
@@ -144,7 +139,16 @@
 
 
 def test_a_seeded_run_under_faults_breaks_no_rule(tmp_path: Path) -> None:
-    options = ["--seed", "7", "--seconds", "20", "--workers", "12", "--port", str(free_port())]
+    options = [
+        "--seed",
+        "7",
+        "--seconds",
+        "20",
+        "--workers",
+        "12",
+        "--port",
+        str(free_soak_port(1)),
+    ]
     result = run_script(*options, "--keep", str(tmp_path / "logs"))
     assert result.returncode == 0, result.stdout + result.stderr
     assert result.stdout.startswith("passed: seed=7")
@@ -152,7 +156,7 @@
 
 def test_a_controller_that_does_not_wait_for_the_owner_is_caught(tmp_path: Path) -> None:
     """Without the owner's acknowledgement a confirmed cancellation is followed by older answers."""
-    options = ["--seed", "2", "--seconds", "60", "--port", str(free_port())]
+    options = ["--seed", "2", "--seconds", "60", "--port", str(free_soak_port(2))]
     result = run_script(*options, "--without", "acknowledgement", "--keep", str(tmp_path / "logs"))
     assert result.returncode == 1, result.stdout + result.stderr
     assert "went_back" in result.stdout
