--- a/review/lib/harness.py
+++ b/review/lib/harness.py
@@ -63,7 +63,7 @@
 def free_ports(count: int) -> list[int]:
     """Return ports that nobody listens on now, below the range of outgoing connections."""
     ports: list[int] = []
-    port = 10_000 + os.getpid() % 9_000
+    port = 10_000 + os.getpid() * 41 % 20_000
     while len(ports) < count:
         port += 1
         with socket.socket() as trial:
@@ -108,7 +108,7 @@
         self.began = time.monotonic()
         self.lock = threading.Lock()
         self.teams, self.zones = teams, zones
-        ports = free_ports(10 + 2 * CONTROLLERS)
+        ports = free_ports(5 + 2 * CONTROLLERS + CONTROLLERS**2)
         (self.state, self.cloud, self.checker, self.host, self.workers_port) = (
             f"127.0.0.1:{ports[0]}",
             f"127.0.0.1:{ports[1]}",
@@ -120,6 +120,9 @@
         self.cluster = [
             f"127.0.0.1:{port}" for port in ports[5 + CONTROLLERS : 5 + 2 * CONTROLLERS]
         ]
+        # The addresses at which each controller reaches the others; proxies' if a case has some.
+        self.peer_addresses = [list(self.cluster) for _ in range(CONTROLLERS)]
+        self.spare_ports = ports[5 + 2 * CONTROLLERS :]
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
         self.events: list[WorkerEvent] = []
 
@@ -154,7 +157,7 @@
             {
                 "host_name": f"perch-{i}",
                 "zone": self.zones[i % len(self.zones)],
-                "address": self.cluster[i],
+                "address": self.peer_addresses[number][i],
             }
             for i in range(CONTROLLERS)
         ]
@@ -180,8 +183,11 @@
         path = self.write_json(f"perch-{number}.json", self.controller_settings(number))
         self.start(f"perch-{number}", *shlex.split(service["run"]), path)
 
-    def start_workers(self, slots: int, machines: int, fetch_s: float = 0.3) -> None:
-        """Start the workers' host and the cloud with its first machines."""
+    def start_workers(self, slots: int, machines: int, copy_after_s: float = 0.0) -> None:
+        """Start the workers' host and the cloud with its first machines.
+
+        With `copy_after_s`, a copy of each launch arrives again after this time.
+        """
         receiver = socket.create_server(("127.0.0.1", int(self.checker.split(":")[1])))
         threading.Thread(target=self._receive_events, args=(receiver,), daemon=True).start()
         host = {
@@ -192,11 +198,15 @@
             "controllers": {f"perch-{i}": address for i, address in enumerate(self.public)},
             "report_s": SETTINGS["workers"]["report_s"],
             "lease_s": SETTINGS["workers"]["lease_s"],
-            "fetch_s": fetch_s,
+            "fetch_s": 0.3,
             "seed": 1,
         }
         path = self.write_json("host.json", host)
-        self.start("host", sys.executable, "-S", "-m", "standins.simulated_workers", path)
+        if copy_after_s:
+            script = str(ROOT / "review" / "lib" / "copying_workers.py")
+            self.start("host", sys.executable, "-S", script, path, str(copy_after_s))
+        else:
+            self.start("host", sys.executable, "-S", "-m", "standins.simulated_workers", path)
         self.wait_until(lambda: call(self.host, "GET", "/stats")[0] == 200, "the workers' host")
         machine_type = {
             "sku": "bison-large",
@@ -249,8 +259,12 @@
             if process.poll() is not None:
                 raise NotRunError(f"{name} ended by itself: {self._tail(name)}")
 
+    def log_of(self, name: str) -> str:
+        """Return what a process has logged so far."""
+        return (self.folder / f"{name}.log").read_text(errors="replace")
+
     def _tail(self, name: str) -> str:
-        return (self.folder / f"{name}.log").read_text(errors="replace")[-1500:]
+        return self.log_of(name)[-1500:]
 
     def wait_until(
         self, is_over: Callable[[], bool], what: str, timeout_s: float = READY_TIMEOUT_S
@@ -264,16 +278,14 @@
             time.sleep(POLL_S)
 
     def stop(self) -> None:
-        """Copy the controllers' decisions into the record, and end every process."""
+        """Copy the processes' logs into the record, and end every process."""
         for process in self.processes.values():
             process.kill()
         for process in self.processes.values():
             process.wait()
-        for number in range(CONTROLLERS):
-            log = self.folder / f"perch-{number}.log"
-            if log.exists():
-                for line in log.read_text(errors="replace").splitlines():
-                    self.record_file.write(f"log perch-{number} {line}\n")
+        for log in sorted(self.folder.glob("*.log")):
+            for line in log.read_text(errors="replace").splitlines():
+                self.record_file.write(f"log {log.stem} {line}\n")
         self.record_file.close()
         shutil.rmtree(self.folder, ignore_errors=True)
 
