--- a/review/lib/harness.py
+++ b/review/lib/harness.py
@@ -9,6 +9,7 @@
 import os
 import shlex
 import shutil
+import signal
 import socket
 import subprocess
 import sys
@@ -183,14 +184,29 @@
         path = self.write_json(f"perch-{number}.json", self.controller_settings(number))
         self.start(f"perch-{number}", *shlex.split(service["run"]), path)
 
-    def start_workers(self, slots: int, machines: int, copy_after_s: float = 0.0) -> None:
-        """Start the workers' host and the cloud with its first machines.
+    def start_workers(self, slots: int, machines: int, host: tuple[str, ...] = ()) -> None:
+        """Start the workers' host and the cloud, with equal machines of `slots` CPUs.
 
-        With `copy_after_s`, a copy of each launch arrives again after this time.
+        `host` is a script in the folder `lib` that takes the place of the project's stand-in, and
+        its arguments after the configuration.
+        """
+        fleet = [("bison-large", self.zones[0], False)] * machines
+        self.start_fleet({"bison-large": float(slots)}, fleet, host)
+
+    def start_fleet(
+        self,
+        types: dict[str, float],
+        fleet: list[tuple[str, str, bool]],
+        host: tuple[str, ...] = (),
+    ) -> None:
+        """Start the workers' host and the cloud.
+
+        `types` are the CPUs of each machine type, `fleet` the type, zone and kind (spot or not) of
+        each machine. The cloud has no others.
         """
         receiver = socket.create_server(("127.0.0.1", int(self.checker.split(":")[1])))
         threading.Thread(target=self._receive_events, args=(receiver,), daemon=True).start()
-        host = {
+        config = {
             "control": self.host,
             "checker": self.checker,
             "network": 20,
@@ -201,36 +217,37 @@
             "fetch_s": 0.3,
             "seed": 1,
         }
-        path = self.write_json("host.json", host)
-        if copy_after_s:
-            script = str(ROOT / "review" / "lib" / "copying_workers.py")
-            self.start("host", sys.executable, "-S", script, path, str(copy_after_s))
-        else:
-            self.start("host", sys.executable, "-S", "-m", "standins.simulated_workers", path)
+        module = ["-m", "standins.simulated_workers"]
+        if host:
+            module = [str(ROOT / "review" / "lib" / host[0])]
+        path = self.write_json("host.json", config)
+        self.start("host", sys.executable, "-S", *module, path, *host[1:])
         self.wait_until(lambda: call(self.host, "GET", "/stats")[0] == 200, "the workers' host")
-        machine_type = {
-            "sku": "bison-large",
-            "cores": float(slots),
-            "accelerators": 0.0,
-            "ram_gb": 8.0 * slots,
-            "local_gb": 100.0,
-            "pull_gb_per_s": 1.0,
-            "rate": 2.64,
-            "spot_price": 0.66,
-            "boot_s": 1.0,
-            "roosts": self.zones,
-        }
         cloud = {
             "address": self.cloud,
-            "types": [machine_type],
+            "types": [self._machine_type(name, cpus) for name, cpus in types.items()],
             "hosts": [self.host],
             "rps": SETTINGS["cloud"]["rps"],
             "list_lag_s": SETTINGS["cloud"]["list_lag_s"],
-            "capacity": machines,
-            "initial": machines,
+            "fleet": fleet,
         }
         path = self.write_json("cloud.json", cloud)
-        self.start("cloud", sys.executable, "-S", "-m", "standins.simulated_cloud", path)
+        script = str(ROOT / "review" / "lib" / "fleet_cloud.py")
+        self.start("cloud", sys.executable, "-S", script, path)
+
+    def _machine_type(self, name: str, cpus: float) -> dict[str, Any]:
+        return {
+            "sku": name,
+            "cores": cpus,
+            "accelerators": 0.0,
+            "ram_gb": 8.0 * cpus,
+            "local_gb": 100.0,
+            "pull_gb_per_s": 1.0,
+            "rate": 0.08 * cpus,
+            "spot_price": 0.02 * cpus,
+            "boot_s": 30.0,
+            "roosts": self.zones,
+        }
 
     def start_state_service(self) -> None:
         """Start the state service, which can execute chosen transactions late."""
@@ -253,6 +270,16 @@
         process.wait()
         self.record(f"process {name} killed")
 
+    def pause(self, name: str) -> None:
+        """Stop a process that this deployment started, until it is resumed."""
+        self.processes[name].send_signal(signal.SIGSTOP)
+        self.record(f"process {name} stands still")
+
+    def resume(self, name: str) -> None:
+        """Let a process go on."""
+        self.processes[name].send_signal(signal.SIGCONT)
+        self.record(f"process {name} goes on")
+
     def check_alive(self) -> None:
         """Raise NotRunError if a process has ended by itself."""
         for name, process in self.processes.items():
