--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,5 +1,6 @@
-"""A start that the state service records late is launched beyond its team's limit (quota)."""
+"""A completed task is started again after a move that came too late, and counts twice."""
 
+import random
 import sys
 import time
 from pathlib import Path
@@ -9,6 +10,7 @@
     HELD,
     Deployment,
     NotRunError,
+    WorkerEvent,
     call,
     run_case,
     shard_of_job,
@@ -16,51 +18,45 @@
 )
 
 CASE = Path(__file__).resolve().parent
-TEAM, LIMIT_CPUS = "field-ops", 8.0
-LATE_S = 8.0  # the page allows 2 to 12 s
-SHARD = 0
-OBSERVE_S = 70.0
-
-
-def job_id(run_s: float) -> str:
-    """Return an id that hashes to SHARD; the simulated workers read the run time from it."""
-    number = job_id.next_number = getattr(job_id, "next_number", 0) + 1
+TEAM = "arhiv-team"
+ZONE = "ljubljana-rack"
+LARGE, SMALL = "hrast-sixteen", "lipa-eight"
+# By their names, the first two belong to controller 2, the third to 1, the fourth to 0.
+FLEET = [(LARGE, ZONE, False), (LARGE, ZONE, False), (SMALL, ZONE, True), (SMALL, ZONE, True)]
+TARGETS_OWNER = 2
+OWNER = 0
+RUN_S = 16.0
+NOTICE_S = 12.0
+NOTICE_BEFORE_END_S = 1.0
+PAUSE_S = 1.5  # the pages name 5 s and more; a shorter one is inside that
+
+
+def run_s(task: str) -> float:
+    """Return how long the project's simulated workers run a task of this name."""
+    return RUN_S * random.Random(task).uniform(0.7, 1.3)
+
+
+def job_id() -> str:
+    """Return an id that hashes to OWNER, with a short first task and a long second one."""
+    number = 1
     while True:
-        job = f"j-1000{round(run_s * 10):05d}{number:07d}"
-        if shard_of_job(job) == SHARD:
-            job_id.next_number = number
+        job = f"j-1000{round(RUN_S * 10):05d}{number:07d}"
+        short, long = run_s(f"{job}/0"), run_s(f"{job}/1")
+        if shard_of_job(job) == OWNER and short < 0.8 * RUN_S and long > 1.25 * RUN_S:
             return job
         number += 1
 
 
-def largest_use(deployment: Deployment) -> tuple[int, float]:
-    """Return the largest number of the team's CPUs on machines at one time, and when.
-
-    Each task takes one CPU, from when it has its image until it has exited.
-    """
-    running: dict[str, str] = {}
-    largest, at = 0, 0.0
-    for event in deployment.sorted_events():
-        if event.kind == "on":
-            running[event.task] = event.machine
-        elif event.kind == "gone":
-            running = {task: m for task, m in running.items() if m != event.machine}
-        elif running.get(event.task) == event.machine:
-            del running[event.task]
-        if len(running) > largest:
-            largest, at = len(running), event.at
-    return largest, at
-
-
-def all_done(deployment: Deployment, jobs: list[str]) -> bool:
-    """Return whether polls show every job as done."""
-    return all(deployment.state_of(job, SHARD) == "done" for job in jobs)
+def first_event(deployment: Deployment, task: str, kind: str) -> WorkerEvent | None:
+    """Return the first event of a kind of a task."""
+    events = deployment.sorted_events()
+    return next((e for e in events if e.task == task and e.kind == kind), None)
 
 
 def run() -> int:
     """Run the case."""
-    teams = [{"name": TEAM, "cpus": 0.0, "cpus_max": LIMIT_CPUS, "gpus": 0.0, "gpus_max": 0.0}]
-    deployment = Deployment(CASE, teams, ["regina-hall"])
+    teams = [{"name": TEAM, "cpus": 0.0, "cpus_max": 0.0, "gpus": 0.0, "gpus_max": 0.0}]
+    deployment = Deployment(CASE, teams, [ZONE])
     try:
         return play(deployment)
     finally:
@@ -68,50 +64,58 @@
 
 
 def play(deployment: Deployment) -> int:
-    """Start the deployment, submit the jobs and judge what the workers have run."""
+    """Run a job of two tasks, and take the machine of the first back just before its end."""
     deployment.start_state_service()
-    deployment.start_workers(slots=32, machines=3)
+    deployment.start_fleet({LARGE: 8.0, SMALL: 8.0}, FLEET, host=("spot_workers.py", "4.0"))
     deployment.start_controllers()
-    # The first job ends before the others come; its shard keeps the team's whole limit.
-    first, held, urgent = job_id(3.0), job_id(20.0), job_id(15.0)
-    deployment.submit(deployment.submission(first, TEAM, 8, "normal"), SHARD)
-    deployment.wait_until(lambda: all_done(deployment, [first]), "the first job", 40.0)
-    if with_trouble():
-        late = {"key": f"j/{SHARD}/{held}", "delay_s": LATE_S}
-        call(deployment.state, "POST", "/late", late)
-        deployment.record(f"state service: the next write of {late} will be late, unanswered")
-    deployment.submit(deployment.submission(held, TEAM, 8, "normal"), SHARD)
-    if with_trouble():
-        deployment.wait_until(lambda: late_outcome(deployment) != "waiting", "the start", 10.0)
-    else:
-        time.sleep(0.5)
-    deployment.submit(deployment.submission(urgent, TEAM, 8, "urgent"), SHARD)
-    observe(deployment, [held, urgent])
-    outcome = late_outcome(deployment)
-    deployment.record(f"state service: outcome of the late transaction: {outcome}")
-    if with_trouble() and outcome not in ("executed", "refused"):
-        raise NotRunError(f"the late transaction is {outcome}")
-    largest, at = largest_use(deployment)
-    deployment.record(
-        f"most CPUs of {TEAM} in use: {largest} at {at - deployment.began:.3f}, limit {LIMIT_CPUS}"
+    time.sleep(3.0)  # until the controllers know the machines
+    filler, job = "j-2000999990000001", job_id()
+    fields = {"shape": "daemon", "guess_s": 0.0, "builds": [LARGE], "cores": 8.0}
+    deployment.submit(deployment.submission(filler, TEAM, 2, "normal", **fields), OWNER)
+    deployment.wait_until(
+        lambda: all(first_event(deployment, f"{filler}/{n}", "on") for n in (0, 1)), "the filler"
     )
-    return BROKEN if largest > LIMIT_CPUS else HELD
+    fields = {"loaners": True, "cores": 8.0, "guess_s": 2 * RUN_S}
+    deployment.submit(deployment.submission(job, TEAM, 2, "normal", **fields), OWNER)
+    deployment.wait_until(
+        lambda: all(first_event(deployment, f"{job}/{n}", "on") for n in (0, 1)), "the job"
+    )
+    status, _ = deployment.request(OWNER, "POST", f"/v2/runs/{filler}/withdraw")
+    if status != 200:
+        raise NotRunError("the cancellation was not answered")
+    short = first_event(deployment, f"{job}/0", "on")
+    if short is None:
+        raise NotRunError("the first task's start is unknown")
+    if with_trouble():
+        disturb(deployment, short.machine, short.at + run_s(short.task))
+    return judge(deployment, job)
 
 
-def late_outcome(deployment: Deployment) -> str:
-    """Return what became of the late transaction."""
-    return str(call(deployment.state, "GET", "/late")[1]["outcome"])
+def disturb(deployment: Deployment, machine: str, ends_at: float) -> None:
+    """Give a machine a notice shortly before its task ends, while one controller stands still."""
+    time.sleep(max(0.0, ends_at - NOTICE_BEFORE_END_S - time.monotonic()))
+    deployment.pause(f"perch-{TARGETS_OWNER}")
+    notice = {"name": machine, "seconds": NOTICE_S}
+    call(deployment.host, "POST", "/notice", notice)
+    deployment.record(f"cloud: termination notice {notice}")
+    time.sleep(PAUSE_S)
+    deployment.resume(f"perch-{TARGETS_OWNER}")
 
 
-def observe(deployment: Deployment, jobs: list[str]) -> None:
-    """Poll the jobs until they are done, the limit is exceeded, or the time is over."""
-    deadline = time.monotonic() + OBSERVE_S
-    while time.monotonic() < deadline and not all_done(deployment, jobs):
+def judge(deployment: Deployment, job: str) -> int:
+    """Poll the job until its second task is done; it must not be called done before."""
+    deadline = time.monotonic() + 2 * RUN_S
+    while time.monotonic() < deadline:
         deployment.check_alive()
-        if largest_use(deployment)[0] > LIMIT_CPUS:
-            time.sleep(2.0)  # further starts go into the record
-            return
-        time.sleep(2.0)
+        state = deployment.state_of(job, OWNER)
+        time.sleep(0.3)  # the workers' events come with a delay
+        if first_event(deployment, f"{job}/1", "done") is not None:
+            return HELD
+        if state == "done":
+            deployment.record(f"{job} is called done, but {job}/1 has not completed")
+            time.sleep(3.0)  # what becomes of the second task goes into the record
+            return BROKEN
+    raise NotRunError("the second task did not end")
 
 
 if __name__ == "__main__":
