--- a/review/build.sh
+++ b/review/build.sh
@@ -5,5 +5,5 @@
 root=$(cd "$(dirname "$0")/.." && pwd)
 cd "$root"
 export PYTHONPATH="$root:$root/target/deps:$root/review/lib"
-python3 -S -m compileall -q review standins starlingdeck >/dev/null
-python3 -S -c "import harness, late_state, standins.simulated_cloud, standins.simulated_workers"
+python3 -S -m compileall -q review standins >/dev/null
+python3 -S -c "import harness, late_state, standins.cloud, standins.simulated_cloud, standins.simulated_workers"
