--- a/review/lib/harness.py
+++ b/review/lib/harness.py
@@ -25,6 +25,7 @@
 ROOT = Path(__file__).resolve().parents[2]
 BROKEN, HELD, NOT_RUN = 1, 0, 2  # exit statuses of a case
 CONTROLLERS = 3
+CONTROLLER = "perch-"  # followed by its number
 # Those of the page "How the Charger Fleet Gets Its Work" (BRIEF, DEPLOY).
 SETTINGS: dict[str, Any] = {
     "workers": {
@@ -138,8 +139,12 @@
 
     def start(self, name: str, *command: str) -> None:
         """Start a process from the project's root; its output goes to the temporary folder."""
-        paths = [str(ROOT), str(ROOT / "target" / "deps"), str(ROOT / "review" / "lib")]
-        environment = os.environ | {"PYTHONPATH": os.pathsep.join(paths), "LOG_LEVEL": "info"}
+        environment = {k: v for k, v in os.environ.items() if k != "PYTHONPATH"}
+        environment["LOG_LEVEL"] = "info"
+        if not name.startswith(CONTROLLER):
+            # Stand-ins use the project's modules and packages; a controller finds its own.
+            paths = [str(ROOT), str(ROOT / "target" / "deps")]
+            environment["PYTHONPATH"] = os.pathsep.join(paths)
         with (self.folder / f"{name}.log").open("ab") as log:
             self.processes[name] = subprocess.Popen(
                 command, cwd=ROOT, stdout=log, stderr=log, env=environment
@@ -401,7 +406,8 @@
 
 
 def run_case(run: Callable[[], int]) -> int:
-    """Run a case; return its exit status."""
+    """Run a case; return its exit status. A SIGTERM ends it, and the processes it started."""
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(NOT_RUN))
     try:
         return run()
     except NotRunError as error:
