--- a/starlingdeck/jobs/job.py
+++ b/starlingdeck/jobs/job.py
@@ -13,6 +13,7 @@
 from starlingdeck.storage.records import TASKS_PER_CHUNK
 
 PENDING, PLACED, DONE = range(3)  # values of `Job.task_states`
+TASK_STATE_NAMES = ("pending", "placed", "done")
 NEVER_EXPIRES = 1e18  # later than any time of the local clock
 MIN_URGENT_RANK = 2  # from this rank on, starts are as urgent as accepting a submission
 
--- a/starlingdeck/jobs/update_applier.py
+++ b/starlingdeck/jobs/update_applier.py
@@ -87,6 +87,13 @@
             else:
                 job.task_states[task] = PENDING
                 job.first_pending = min(job.first_pending, task)
+            log.debug(
+                "attempt end recorded: task=%s attempt=%d cause=%s completed=%d",
+                api.task_name(job.id, task),
+                job.attempts[task],
+                api.CAUSE_NAMES.get(cause, "none"),
+                job.completed,
+            )
 
     def _apply_starts(self, update: JobUpdate) -> None:
         job = update.job
--- a/starlingdeck/scheduling/reservation_client.py
+++ b/starlingdeck/scheduling/reservation_client.py
@@ -12,7 +12,7 @@
 from starlingdeck.cluster.peers import PeerUnavailableError
 from starlingdeck.context import ControllerContext
 from starlingdeck.jobs.desired_state import job_message
-from starlingdeck.jobs.job import Job, TaskPlacement
+from starlingdeck.jobs.job import TASK_STATE_NAMES, Job, TaskPlacement
 from starlingdeck.protocol import api
 from starlingdeck.protocol import peer_pb2 as pb
 from starlingdeck.protocol.config import OverloadSettings
@@ -89,6 +89,7 @@
             task = decision.task
             job.reserving.pop(task, None)
             grant = granted.get(task)
+            _log_answer(decision, grant, now - requested_at)
             if not decision.preempt:
                 self.candidates.resolve(decision.candidate, (job.index, task), grant is not None)
             if grant is None or grant.evicting or job.cancelled or job.terminal_state:
@@ -187,3 +188,20 @@
         if writer is not None and writer.shard.jobs.get(job.index) is job:
             writer.shard.republish_task(job, task)
         await self.wake.set()
+
+
+def _log_answer(decision: PlacementDecision, grant: pb.GrantedTask | None, waited_s: float) -> None:
+    """Log what a reservation's answer found: the task may have changed while it was awaited."""
+    if not log.isEnabledFor(logging.DEBUG):
+        return
+    job, task = decision.job, decision.task
+    log.debug(
+        "reservation answered: task=%s granted_attempt=%d waited_s=%.3f"
+        " state=%s attempt=%d ending=%s",
+        api.task_name(job.id, task),
+        grant.attempt if grant is not None else 0,
+        waited_s,
+        TASK_STATE_NAMES[job.task_states[task]],
+        job.attempts[task],
+        task in job.pending_ends,
+    )
