A completed task is not started again by a late reservation, and counts once

Cause: a task on a machine with a termination notice has a reservation requested for its move. If it completes, and the end is recorded, before the answer, it is in neither `placements` nor `pending_ends`: `ReservationClient._reserve` took it for a waiting task and queued a start. Nothing between that and the record asked whether the task had completed, its state went from done back to placed, and its second end raised `Job.completed` again.

Why the fix works: whether an attempt may start is one question, `Job.may_start`: the task has not completed, has no other attempt that goes on, and the attempt is its next. It is asked where the answer comes in and again for each draft of a write, the last place before a start is durable, so it holds however late an answer is and wherever a pending start came from. `Job.record_end` is the only place that counts a completion, and a completed task stays completed. Records in which an older version has started a completed task are read the same way. Before a job is recorded as done, its tasks are counted by their states (`_check_all_completed`); a mismatch sets the job aside instead.

--- a/starlingdeck/jobs/job.py
+++ b/starlingdeck/jobs/job.py
@@ -1,6 +1,7 @@
 """In-memory state of a job at its shard's owner."""
 
 from array import array
+from collections.abc import Mapping
 from typing import NamedTuple
 
 from msgspec import Struct, field
@@ -18,6 +19,10 @@
 MIN_URGENT_RANK = 2  # from this rank on, starts are as urgent as accepting a submission
 
 
+class JobInvariantError(Exception):
+    """A change would contradict a job's completed tasks; it is a fault of this program."""
+
+
 class EndProof(NamedTuple):
     """Why an attempt is known to be over, and when this became known (local clock, seconds)."""
 
@@ -111,6 +116,46 @@
         """How long a task may take to save its state before it is stopped, in seconds."""
         return self.spec.save_s + 1.0 if self.spec.checkpoint_s > 0 else 0.0
 
+    def may_start(self, task: int, attempt: int) -> bool:
+        """Return whether an attempt may be recorded as started, now or together with pending ends.
+
+        A task's next attempt may start while none is recorded, or when the recorded one ends
+        without completing the task. This is asked again before each write, because the task may
+        have changed while a reservation was awaited.
+        """
+        if self.task_states[task] == DONE or attempt != self.attempts[task] + 1:
+            return False
+        if task not in self.placements:
+            return True
+        return self.pending_ends.get(task, api.CAUSE_DONE) != api.CAUSE_DONE
+
+    def may_move(self, task: int, attempt: int) -> bool:
+        """Return whether a task's recorded attempt may be stopped, to continue as this attempt."""
+        return (
+            task in self.placements
+            and task not in self.pending_ends
+            and self.task_states[task] != DONE
+            and attempt == self.attempts[task] + 1
+        )
+
+    def record_end(self, task: int, cause: int) -> None:
+        """Record that an attempt has ended. A completed task stays completed, and counts once."""
+        if self.task_states[task] == DONE:
+            return
+        if cause == api.CAUSE_DONE:
+            self.task_states[task] = DONE
+            self.completed += 1
+        else:
+            self.task_states[task] = PENDING
+            self.first_pending = min(self.first_pending, task)
+
+    def completed_after(self, ends: Mapping[int, int]) -> int:
+        """Return the number of completed tasks once these ends, task to cause, are recorded."""
+        return self.completed + sum(
+            cause == api.CAUSE_DONE and self.task_states[task] != DONE
+            for task, cause in ends.items()
+        )
+
     def pending(self, limit: int) -> list[int]:
         """Return up to `limit` tasks that wait for a machine."""
         if self.cancelled or self.terminal_state:
--- a/starlingdeck/jobs/job_records.py
+++ b/starlingdeck/jobs/job_records.py
@@ -32,12 +32,12 @@
 def _load_chunk(context: ControllerContext, job: Job, number: int, chunk: Chunk) -> None:
     first = number * TASKS_PER_CHUNK
     for offset in records.decode_completed(chunk.completed_bits):
-        job.task_states[first + offset] = DONE
-        job.completed += 1
+        job.record_end(first + offset, api.CAUSE_DONE)
     for offset, attempts in enumerate(chunk.attempts):
         job.attempts[first + offset] = attempts
     for placed in chunk.placements:
-        job.task_states[placed.task] = PLACED
+        if job.task_states[placed.task] != DONE:  # older versions started completed tasks again
+            job.task_states[placed.task] = PLACED
         job.placements[placed.task] = TaskPlacement(
             machine=context.machine_names.intern(placed.machine),
             session=placed.session,
--- a/starlingdeck/jobs/update_applier.py
+++ b/starlingdeck/jobs/update_applier.py
@@ -4,7 +4,7 @@
 from typing import TYPE_CHECKING
 
 from starlingdeck.jobs.commit_log import ChunkId
-from starlingdeck.jobs.job import DONE, PENDING, PLACED, Job
+from starlingdeck.jobs.job import PLACED, Job
 from starlingdeck.jobs.job_update import JobUpdate
 from starlingdeck.metrics import counters
 from starlingdeck.protocol import api
@@ -40,7 +40,7 @@
         job.terminal_state = update.terminal_state
         event = counters.DONE if update.terminal_state == api.DONE else counters.CANCELLED
         self.context.counters.increment(job.spec.team, job.spec.cls, event)
-        job.completed += sum(1 for cause in update.pending_ends.values() if cause == api.CAUSE_DONE)
+        job.completed = job.completed_after(update.pending_ends)
         shard.record_terminal_state(job.id, update.terminal_state, job.completed)
         shard.dirty_jobs.discard(job.index)
         shard.commit_log.remove_job(job.index, job.id, records.max_chunk_count(job.spec.tasks))
@@ -79,14 +79,10 @@
                 self.shard.remove_placement(job, task)
             if job.pending_ends.get(task) == cause:
                 del job.pending_ends[task]
-            if cause == api.CAUSE_DONE:
-                job.task_states[task] = DONE
-                job.completed += 1
-                if job.completed == 1:  # the first success changes the failure evidence
-                    self.shard.republish_job(job)
-            else:
-                job.task_states[task] = PENDING
-                job.first_pending = min(job.first_pending, task)
+            evidence_before = job.failure_evidence
+            job.record_end(task, cause)
+            if job.failure_evidence != evidence_before:
+                self.shard.republish_job(job)
             log.debug(
                 "attempt end recorded: task=%s attempt=%d cause=%s completed=%d",
                 api.task_name(job.id, task),
--- a/starlingdeck/jobs/update_drafter.py
+++ b/starlingdeck/jobs/update_drafter.py
@@ -3,11 +3,12 @@
 A draft is not durable yet: `update_applier` applies it once it has been written.
 """
 
+import logging
 from typing import TYPE_CHECKING, TypeVar
 
 import msgspec
 
-from starlingdeck.jobs.job import Job, TaskPlacement
+from starlingdeck.jobs.job import DONE, Job, JobInvariantError, TaskPlacement
 from starlingdeck.jobs.job_records import densest_chunks, encode_chunk, encode_placement
 from starlingdeck.jobs.job_update import JobUpdate, LogUpdate
 from starlingdeck.protocol import api
@@ -19,6 +20,8 @@
 if TYPE_CHECKING:
     from starlingdeck.jobs.job_shard import JobShard
 
+log = logging.getLogger(__name__)
+
 MAX_CHUNKS_PER_UPDATE = 3
 RESERVED_VALUE_BYTES = 200  # left free by starts, so that an end or a cancellation still fits
 PLACEMENT_BYTES = 45  # size of a placement in a record, without the machine's and zone's names
@@ -53,8 +56,7 @@
 
     def _completed_tasks(self, job: Job) -> int:
         """Return the number of completed tasks, including those whose end is yet to be written."""
-        ended = (cause for task, cause in job.pending_ends.items() if task in job.placements)
-        return job.completed + sum(cause == api.CAUSE_DONE for cause in ended)
+        return job.completed_after(_recorded_ends(job))
 
     def draft_update(self, job: Job, max_chunks: int, with_starts: bool) -> JobUpdate | None:
         """Draft the next write of a job's record; None when nothing is to be written."""
@@ -72,6 +74,8 @@
 
     def _draft_final(self, job: Job, state: str, ends: dict[int, int]) -> JobUpdate:
         """Draft the replacement of the job's unfinished record by its final one."""
+        if state == api.DONE:
+            _check_all_completed(job, ends)
         completed = 0 if state == api.DONE else self._completed_tasks(job)
         final = records.FinalRecord(state, job.spec.tasks, completed)
         return JobUpdate(
@@ -93,6 +97,7 @@
         }
 
     def _startable(self, job: Job) -> dict[int, TaskPlacement]:
+        self._drop_superseded_starts(job)
         self._drop_expiring_starts(job)
         if job.cancelled:
             return {}
@@ -102,6 +107,21 @@
             if task not in job.withheld
         }
 
+    def _drop_superseded_starts(self, job: Job) -> None:
+        """Drop pending starts of tasks that have completed or started by another reservation."""
+        superseded = [
+            task
+            for task, placement in job.pending_starts.items()
+            if not job.may_start(task, placement.attempt)
+        ]
+        for task in superseded:
+            placement = job.pending_starts.pop(task)
+            log.info(
+                "superseded start dropped: task=%s attempt=%d",
+                api.task_name(job.id, task),
+                placement.attempt,
+            )
+
     def _drop_expiring_starts(self, job: Job) -> None:
         """Drop pending starts whose reservations expire before they are published.
 
@@ -259,6 +279,19 @@
         return [number for number, size in sizes.items() if size > limit]
 
 
+def _check_all_completed(job: Job, ends: dict[int, int]) -> None:
+    """Check a job that is about to be recorded as done, task by task and not by its count.
+
+    Raises JobInvariantError: a user must not be told that a job is done before all its tasks are.
+    """
+    ended = sum(
+        cause == api.CAUSE_DONE and job.task_states[task] != DONE for task, cause in ends.items()
+    )
+    completed = job.task_states.count(DONE) + ended
+    if completed != job.spec.tasks:
+        raise JobInvariantError(f"{completed} of {job.spec.tasks} tasks have completed")
+
+
 def _recorded_ends(job: Job) -> dict[int, int]:
     """Return the pending ends of attempts that are recorded."""
     return {task: cause for task, cause in job.pending_ends.items() if task in job.placements}
--- a/starlingdeck/scheduling/reservation_client.py
+++ b/starlingdeck/scheduling/reservation_client.py
@@ -107,10 +107,7 @@
                 protected=decision.protected,
                 reserved_until=reserved_until,
             )
-            if task not in job.placements:
-                job.pending_starts[task] = target
-            elif task not in job.pending_ends and hold_s:
-                await self._start_move(job, task, target)
+            await self._use_reservation(job, task, target, moves=hold_s > 0)
         writer = self.writers.get(job.shard)
         if job.pending_starts and writer is not None and writer.shard.jobs.get(job.index) is job:
             writer.shard.dirty_jobs.add(job.index)
@@ -174,6 +171,26 @@
             job.nominated.pop(task, None)
             job.accumulating.discard(task)
 
+    async def _use_reservation(
+        self, job: Job, task: int, target: TaskPlacement, moves: bool
+    ) -> None:
+        """Start or move a task, unless it has ended or started elsewhere since the request.
+
+        A reservation that is not used expires at the machine's owner.
+        """
+        if task not in job.placements and job.may_start(task, target.attempt):
+            job.pending_starts[task] = target
+        elif moves and job.may_move(task, target.attempt):
+            await self._start_move(job, task, target)
+        else:
+            log.info(
+                "reservation not used: task=%s attempt=%d machine=%s state=%s",
+                api.task_name(job.id, task),
+                target.attempt,
+                self.context.machine_names[target.machine],
+                TASK_STATE_NAMES[job.task_states[task]],
+            )
+
     async def _start_move(self, job: Job, task: int, target: TaskPlacement) -> None:
         source = job.placements[task]
         source.target = target
--- a/tests/support/reference_model.py
+++ b/tests/support/reference_model.py
@@ -158,6 +158,7 @@
     tasks: dict[str, FakeTask] = field(default_factory=dict)
     completed: set[str] = field(default_factory=set)
     unreachable: bool = False  # one-way partition: its reports arrive, nothing reaches it
+    notice_s: float | None = None  # seconds until the cloud takes the machine away, if announced
 
     def restart(self, now: float) -> None:
         """Restart the machine at once: tasks, session, sequence number and token are reset."""
@@ -180,7 +181,7 @@
         ]
         return api.Report(
             self.name, f"w:{self.name}", "small", self.zone, self.session, self.seq, self.token,
-            False, None, tasks,
+            False, self.notice_s, tasks,
         )  # fmt: skip
 
     def handle_reply(self, reply: api.ReportReply, session: int, sent: float) -> None:
--- a/tests/support/simulated_cluster.py
+++ b/tests/support/simulated_cluster.py
@@ -177,7 +177,10 @@
         if not self.is_reachable(to) or self.has_ended():
             raise PeerUnavailableError("partitioned")
         envelope.sender = self.number
-        return await self.cluster.controllers[to].on_message(envelope) or pb.Envelope()
+        reply = await self.cluster.controllers[to].on_message(envelope) or pb.Envelope()
+        if self.cluster.peer_latency_s:
+            await curio.sleep(self.cluster.peer_latency_s)
+        return reply
 
     async def enqueue(self, to: int, envelope: pb.Envelope) -> None:
         """Send a message to another controller without waiting."""
@@ -240,6 +243,7 @@
         self.pending_cancellations: list[tuple[str, int]] = []  # job, and first controller asked
         self.send_invalid = False  # whether users keep sending invalid requests
         self.report_latency_s = 0.0  # maximum; each report takes at least 80 % of it
+        self.peer_latency_s = 0.0  # of replies between controllers, below their time-out
         self.burst_query_share = 0.0  # share of the new states that users look up everywhere
         self.background_errors: list[Exception] = []  # raised in spawned tasks
         self.running_loops: set[tuple[Any, ...]] = set()  # whose last turn has not ended
@@ -340,11 +344,13 @@
             client.unreadable_prefixes.clear()
         for worker in self.workers.values():
             worker.unreachable = worker.heartbeats_lost = worker.hung = False
+            worker.notice_s = None
         self.partitions.clear()
         self.blocked_worker_links.clear()
         self.closed_to_users.clear()
         self.duplicate_share = self.delayed_command_share = self.replay_share = 0.0
-        self.burst_query_share = self.cancel_at_end_share = self.report_latency_s = 0.0
+        self.burst_query_share = self.cancel_at_end_share = 0.0
+        self.report_latency_s = self.peer_latency_s = 0.0
         self.send_invalid = False
         self.healed_at = max([self.clock.at, *self.down.values()])
 
--- a/tests/test_input_validation.py
+++ b/tests/test_input_validation.py
@@ -165,6 +165,7 @@
     zone = context.zone_names.intern("a-zone-with-long-name")
     for t in range(job.spec.tasks):
         index = context.machine_names.intern(f"vm-{t:06d}")
+        job.attempts[t] = 19
         job.pending_starts[t] = TaskPlacement(index, 1000, 20, 0, zone)
     transactions = 0
     while (update := shard.draft_update(job)) is not None:
