Reservation client: what an answer does stands apart from the request

_reserve sent the request and applied each task's answer in one function of 45 lines. An answer for a job that has been read again meanwhile is now named in the log; it changed only the object that the new one replaced, before and now.

A trial test held that such an answer leaves a move that the machine is never told of. It passes on the code before too: JobShard.remove empties the replaced job's placements. The test is not kept. tests/test_task_completion.py, test_planner.py, test_layers.py: passed.

--- a/starlingdeck/scheduling/reservation_client.py
+++ b/starlingdeck/scheduling/reservation_client.py
@@ -13,6 +13,7 @@
 from starlingdeck.context import ControllerContext
 from starlingdeck.jobs.desired_state import job_message
 from starlingdeck.jobs.job import TASK_STATE_NAMES, Job, TaskPlacement
+from starlingdeck.jobs.record_writer import RecordWriter
 from starlingdeck.protocol import api
 from starlingdeck.protocol import peer_pb2 as pb
 from starlingdeck.protocol.config import OverloadSettings
@@ -37,6 +38,14 @@
     accumulate: bool
 
 
+class _Answer(NamedTuple):
+    """The reservations that a machine shard's owner granted for one request, by task."""
+
+    granted: dict[int, pb.GrantedTask]
+    requested_at: float
+    hold_s: float  # how long reservations for moves last; 0 if no task was to be moved
+
+
 class ReservationClient:
     """Sends the planner's decisions to the owners of the chosen machines."""
 
@@ -83,36 +92,45 @@
             request = self._build_request(decisions, hold_s)
             request.to_shard, request.to_epoch = shard, owner.epoch
             granted = await self._send(owner.node, request)
-        now = self.context.now()
-        reserved_until = requested_at + (hold_s or self.context.tuning.reserve_s)
+        answer = _Answer(granted, requested_at, hold_s)
         for decision in decisions:
-            task = decision.task
-            job.reserving.pop(task, None)
-            grant = granted.get(task)
-            _log_answer(decision, grant, now - requested_at)
-            if not decision.preempt:
-                self.candidates.resolve(decision.candidate, (job.index, task), grant is not None)
-            if grant is None or grant.evicting or job.cancelled or job.terminal_state:
-                self._retry_later(decision, grant, now)
-                continue
-            job.nominated.pop(task, None)
-            job.accumulating.discard(task)
-            target = TaskPlacement(
-                decision.candidate.index,
-                grant.session,
-                grant.attempt,
-                shard,
-                decision.candidate.zone,
-                state_since=now,
-                protected=decision.protected,
-                reserved_until=reserved_until,
-            )
-            await self._use_reservation(job, task, target, moves=hold_s > 0)
-        writer = self.writers.get(job.shard)
-        if job.pending_starts and writer is not None and writer.shard.jobs.get(job.index) is job:
+            await self._apply_answer(decision, answer)
+        writer = self._current_writer(job)
+        if job.pending_starts and writer is not None:
             writer.shard.dirty_jobs.add(job.index)
             await self.flush.set()
 
+    async def _apply_answer(self, decision: PlacementDecision, answer: _Answer) -> None:
+        """Apply the answer for one task: its reservation is used, or it is placed again later."""
+        job, task, now = decision.job, decision.task, self.context.now()
+        grant = answer.granted.get(task)
+        _log_answer(decision, grant, now - answer.requested_at)
+        job.reserving.pop(task, None)
+        if not decision.preempt:
+            self.candidates.resolve(decision.candidate, (job.index, task), grant is not None)
+        if grant is None or grant.evicting or job.cancelled or job.terminal_state:
+            self._retry_later(decision, grant, now)
+            return
+        job.nominated.pop(task, None)
+        job.accumulating.discard(task)
+        reserved_for_s = answer.hold_s or self.context.tuning.reserve_s
+        target = TaskPlacement(
+            decision.candidate.index,
+            grant.session,
+            grant.attempt,
+            decision.candidate.shard,
+            decision.candidate.zone,
+            state_since=now,
+            protected=decision.protected,
+            reserved_until=answer.requested_at + reserved_for_s,
+        )
+        await self._use_reservation(job, task, target, moves=answer.hold_s > 0)
+
+    def _current_writer(self, job: Job) -> RecordWriter | None:
+        """Return the writer of a job's shard; None if the job was read again, or isn't here."""
+        writer = self.writers.get(job.shard)
+        return writer if writer is not None and writer.shard.jobs.get(job.index) is job else None
+
     def _build_request(
         self, decisions: list[PlacementDecision], hold_s: float
     ) -> pb.ReserveRequest:
@@ -178,20 +196,28 @@
 
         A reservation that is not used expires at the machine's owner.
         """
-        if task not in job.placements and job.may_start(task, target.attempt):
+        writer = self._current_writer(job)
+        if writer is None:
+            unused = "job read again"
+        elif task not in job.placements and job.may_start(task, target.attempt):
             job.pending_starts[task] = target
+            return
         elif moves and job.may_move(task, target.attempt):
-            await self._start_move(job, task, target)
+            await self._start_move(writer, job, task, target)
+            return
         else:
-            log.info(
-                "reservation not used: task=%s attempt=%d machine=%s state=%s",
-                api.task_name(job.id, task),
-                target.attempt,
-                self.context.machine_names[target.machine],
-                TASK_STATE_NAMES[job.task_states[task]],
-            )
+            unused = TASK_STATE_NAMES[job.task_states[task]]
+        log.info(
+            "reservation not used: task=%s attempt=%d machine=%s reason=%s",
+            api.task_name(job.id, task),
+            target.attempt,
+            self.context.machine_names[target.machine],
+            unused,
+        )
 
-    async def _start_move(self, job: Job, task: int, target: TaskPlacement) -> None:
+    async def _start_move(
+        self, writer: RecordWriter, job: Job, task: int, target: TaskPlacement
+    ) -> None:
         source = job.placements[task]
         source.target = target
         source.grace_s = job.grace_s
@@ -201,9 +227,7 @@
             self.context.machine_names[source.machine],
             self.context.machine_names[target.machine],
         )
-        writer = self.writers.get(job.shard)
-        if writer is not None and writer.shard.jobs.get(job.index) is job:
-            writer.shard.republish_task(job, task)
+        writer.shard.republish_task(job, task)
         await self.wake.set()
 
 
