Tests: spot machines with notices, slow peers, and the check before a job is called done

It now has both, takes noticed machines away and replaces them; the scenario "tasks end while their moves are answered late" plays them together. A wrong count is refused task by task.

--- a/tests/support/simulated_cluster.py
+++ b/tests/support/simulated_cluster.py
@@ -192,7 +192,9 @@
     ) -> Reply:
         """Send commands to a worker and return its answer; either may be delayed."""
         cluster = self.cluster
-        worker = cluster.workers[address.split(":")[1]]
+        worker = cluster.workers.get(address.split(":")[1])
+        if worker is None:
+            raise NoResponseError("machine is gone")
         if (self.number, worker.name) in cluster.blocked_worker_links or self.has_ended():
             raise ConnectionFailedError("link is blocked")
         if worker.unreachable:
@@ -344,7 +346,7 @@
             client.unreadable_prefixes.clear()
         for worker in self.workers.values():
             worker.unreachable = worker.heartbeats_lost = worker.hung = False
-            worker.notice_s = None
+        self.replace_noticed_machines()
         self.partitions.clear()
         self.blocked_worker_links.clear()
         self.closed_to_users.clear()
@@ -465,6 +467,12 @@
         )
         return self.workers[name]
 
+    def replace_noticed_machines(self) -> None:
+        """Take away the machines that have a termination notice, and add one for each."""
+        for worker in [w for w in self.workers.values() if w.notice_s is not None]:
+            self.boot_machine(self.ownership_of(worker)[0])
+            del self.workers[worker.name]
+
     def run_time_s(self, task: str) -> float:
         """Return how long a task runs, in seconds."""
         return self.run_times.get(task) or self.run_times[task.split("/", maxsplit=1)[0]]
@@ -744,7 +752,8 @@
         for delayed in [item for item in self.delayed_commands if item[0] <= now]:
             self.delayed_commands.remove(delayed)
             _, name, commands = delayed
-            self.workers[name].handle_commands(commands)
+            if name in self.workers:
+                self.workers[name].handle_commands(commands)
         for duplicate in [item for item in self.duplicate_reports if item[0] <= now]:
             self.duplicate_reports.remove(duplicate)
             await self.deliver_duplicate(duplicate[1])
--- a/tests/test_concurrent_failures.py
+++ b/tests/test_concurrent_failures.py
@@ -238,6 +238,17 @@
         cluster.pending_cancellations.append((job, number))
 
 
+def give_termination_notice(cluster: SimulatedCluster, number: int) -> None:
+    """Give one machine a notice; those that have one already are replaced."""
+    cluster.replace_noticed_machines()
+    noticed = machines_of(cluster, number)[0]
+    noticed.notice_s, noticed.next_report_at = 3.0, cluster.clock.at
+
+
+def toggle_slow_peers(cluster: SimulatedCluster, _number: int) -> None:
+    cluster.peer_latency_s = toggle(cluster.peer_latency_s, 1.4)
+
+
 def toggle_zone(cluster: SimulatedCluster, number: int) -> None:
     cut_zone(cluster, cluster.zones[number])
 
@@ -273,6 +284,8 @@
     "cancel": cancel_job,
     "cancel and hang": cancel_job_and_hang,
     "zone partition": toggle_zone,
+    "termination notice": give_termination_notice,
+    "peers slow": toggle_slow_peers,
 }
 
 
@@ -488,6 +501,11 @@
         (0.0, "state service slow", 0), (0.0, "late commands", 0), (4.0, "cancel", 1),
         (30.0, "state service slow", 0), (30.0, "late commands", 0),
     ],
+    "tasks end while their moves are answered late": [
+        (0.0, "peers slow", 0),
+        *((3.0 * i + 0.8, "termination notice", i % 3) for i in range(6)),
+        (20.0, "peers slow", 0),
+    ],
 }  # fmt: skip
 # Parameters of the cluster that differ from the defaults, by scenario.
 SCENARIO_CLUSTERS: dict[str, dict[str, Any]] = {
@@ -495,6 +513,10 @@
     for scenario in FAILURE_SCENARIOS
     if scenario.startswith("at the team limit")
 } | {name: {"zones": ("a", "b", "a")} for name in FAILURE_SCENARIOS if "a zone" in name}
+SCENARIO_CLUSTERS["tasks end while their moves are answered late"] = {
+    "zones": ("a", "b", "a"),
+    "workers": 9,
+}
 
 
 def job_fields(cluster: SimulatedCluster, number: int) -> dict[str, Any]:
--- a/tests/test_task_completion.py
+++ b/tests/test_task_completion.py
@@ -6,7 +6,7 @@
 from hypothesis import strategies as st
 
 from starlingdeck.cluster.membership import ShardOwner
-from starlingdeck.jobs.job import DONE, Job, new_job
+from starlingdeck.jobs.job import DONE, Job, JobInvariantError, new_job
 from starlingdeck.jobs.job_records import load_job
 from starlingdeck.jobs.job_shard import JobShard
 from starlingdeck.jobs.job_update import JobUpdate
@@ -171,3 +171,13 @@
     assert update is not None
     shard.apply_update(update, 2)
     assert (job.completed, list(job.task_states).count(DONE), list(job.placements)) == (1, 1, [1])
+
+
+def test_a_job_whose_count_is_wrong_is_not_called_done() -> None:
+    """The check by tasks before a job is recorded as done, in place of a count that is wrong."""
+    shard = JobShard(make_context(Clock()), 0, 3, 9)
+    job = new_job(shard.context, spec(chores=2), 0, 0)
+    job.key_versions[0] = 1
+    job.completed = 2
+    with pytest.raises(JobInvariantError, match="0 of 2"):
+        shard.draft_update(job)
