A job bound to one zone starts nothing while a task of it moves between zones

Cause: a task that moves counts in both zones, and `zone_filter` allowed a job for one zone every zone with a task.

Why the fix works: the filter that starts, moves, preemption and accumulation share allows a zone only if all other tasks of the job are in it, so none while they are in two. All that is placed, starting, requested or the target of a move counts, so no answer can come from another zone.

--- a/starlingdeck/jobs/job.py
+++ b/starlingdeck/jobs/job.py
@@ -20,7 +20,7 @@
 
 
 class JobInvariantError(Exception):
-    """A change would contradict a job's completed tasks; it is a fault of this program."""
+    """A change would contradict what a job's tasks are or may be; it is a fault of this program."""
 
 
 class EndProof(NamedTuple):
--- a/starlingdeck/jobs/update_drafter.py
+++ b/starlingdeck/jobs/update_drafter.py
@@ -101,11 +101,14 @@
         self._drop_expiring_starts(job)
         if job.cancelled:
             return {}
-        return {
+        starts = {
             task: placement
             for task, placement in job.pending_starts.items()
             if task not in job.withheld
         }
+        if starts and job.spec.one_zone:
+            _check_one_zone(job, starts)
+        return starts
 
     def _drop_superseded_starts(self, job: Job) -> None:
         """Drop pending starts of tasks that have completed or started by another reservation."""
@@ -292,6 +295,17 @@
         raise JobInvariantError(f"{completed} of {job.spec.tasks} tasks have completed")
 
 
+def _check_one_zone(job: Job, starts: dict[int, TaskPlacement]) -> None:
+    """Check the starts of a job whose tasks must all be in one zone, against its other tasks.
+
+    Raises JobInvariantError.
+    """
+    zones = {placement.zone for task, placement in job.placements.items() if task not in starts}
+    zones |= {placement.zone for placement in starts.values()}
+    if len(zones) > 1:
+        raise JobInvariantError(f"tasks of a job for one zone would be in {len(zones)} zones")
+
+
 def _recorded_ends(job: Job) -> dict[int, int]:
     """Return the pending ends of attempts that are recorded."""
     return {task: cause for task, cause in job.pending_ends.items() if task in job.placements}
--- a/starlingdeck/scheduling/constraints.py
+++ b/starlingdeck/scheduling/constraints.py
@@ -31,10 +31,14 @@
 
 
 def zone_filter(job: Job, zone_counts: dict[int, int]) -> ZoneFilter:
-    """Return a filter for the zones of the job's next task, given its number of tasks by zone."""
+    """Return a filter for the zones of the job's next task, given its number of tasks by zone.
+
+    While a task of a job that must stay in one zone moves to another, it counts in both. Until it
+    has left the old one, no zone is allowed to the others.
+    """
     spec = job.spec
     if spec.one_zone and zone_counts:
-        return lambda zone: zone_counts.get(zone, 0) > 0
+        return lambda zone: zone_counts.keys() == {zone}
     if spec.spread:
         limit = (spec.tasks + 1) // 2
         return lambda zone: zone_counts.get(zone, 0) < limit
--- a/tests/support/simulated_cluster.py
+++ b/tests/support/simulated_cluster.py
@@ -44,6 +44,7 @@
 MAX_UNANSWERED_S = 75.0  # of the queries about an accepted job, after all failures ended
 TRANSACTION_TIMEOUT_S = 2.0  # how long a controller waits for the answer to a transaction
 MAX_WAIT_BESIDE_CAPACITY_S = 90.0  # of a task while capacity that fits it is free
+ON_MACHINE_STATES = ("running", "flushing")  # the rules count a task in these states
 real_sleep = curio.sleep
 
 
@@ -150,11 +151,23 @@
                 self.exit_times[name] = now + self.model.run_time_s(name)
                 if name in self.completed:
                     self.exit_times[name] = now
+            elif task.state == "flushing" and self.exit_times[name] <= now:
+                task.state, task.exit_reason = "exited", "halted"
             elif task.state == "running" and self.exit_times[name] <= now:
                 task.state, task.exit_reason = "exited", "done"
                 self.completed.add(name)
                 self.model.on_task_completed(name)
 
+    def execute(self, command: api.Command) -> None:
+        """Execute one command; a task with checkpoints saves before it stops, given the time."""
+        task, body = self.tasks.get(command.task), self.model.jobs[command.task.split("/")[0]]
+        saves = body["mark_s"] > 0 and (command.grace_s or 0.0) >= body["stash_s"] > 0
+        if command.op == api.STOP and saves and task == FakeTask(command.attempt, "running"):
+            task.state = "flushing"
+            self.exit_times[command.task] = self.model.clock.at + body["stash_s"]
+        elif command.op != api.STOP or not saves or task is None or task.state != "flushing":
+            super().execute(command)
+
 
 @dataclass
 class ControllerLinks:
@@ -482,7 +495,7 @@
         self.start_counts[name] = self.start_counts.get(name, 0) + 1
         for other in self.workers.values():
             task = other.tasks.get(name)
-            if other is not worker and task is not None and task.state == "running":
+            if other is not worker and task is not None and task.state in ON_MACHINE_STATES:
                 raise InvariantViolationError(
                     f"ran_twice: {name} on {worker.name} and {other.name}"
                 )
@@ -495,7 +508,8 @@
                     f"ran_cancelled: {name} began {self.clock.at - at:.1f} s after"
                 )
         body = self.jobs[job]
-        zones = [w.zone for w, n, t in self.live_tasks(job) if n != name and t.state == "running"]
+        live = self.live_tasks(job)
+        zones = [w.zone for w, n, t in live if n != name and t.state in ON_MACHINE_STATES]
         limit = (body["chores"] + 1) // 2
         if (
             body["roost"] not in (None, worker.zone)
@@ -688,7 +702,7 @@
                 raise InvariantViolationError(
                     f"ran_cancelled: {name} on {worker.name}, {now - at:.1f} s after"
                 )
-            if task.state == "running" and self.jobs[job]["crew"] == "blue":
+            if task.state in ON_MACHINE_STATES and self.jobs[job]["crew"] == "blue":
                 used += self.jobs[job]["cores"]
         self.used = used
         if self.limit and used > self.limit + 1e-6:
