Starts of unknown outcome count as used until a rewrite of the record rules them out

Cause: after an unanswered write of starts the job's record is read again, still without them, and nothing remembers them. The team's share went to another job, whose urgent tasks filled it; so the first job had nothing to write, and its record kept the version that the late write requires. Its next write, when a task of the other job ended, conflicted, and all starts read then were launched.

Why the fix works: such starts stay in `Job.uncertain_starts` for as long as the record has the version that their write requires, and count for limits, transfers and zones. Before the shard writes anything else their records are rewritten unchanged: then the late write's condition cannot hold, or it was executed first and the rewrite conflicts, so that the starts are read and count as placed. Starts that need units are ruled out by their ledgers' rewrite, as before.

The simulated cluster now encodes a transaction when it is sent also if it is executed late.

--- a/starlingdeck/jobs/job.py
+++ b/starlingdeck/jobs/job.py
@@ -89,6 +89,9 @@
     # Chunks for which a write that completes tasks was sent: more of their tasks may be recorded as
     # done than are known here.
     uncertain_chunks: set[int] = field(default_factory=set)
+    # Starts whose write was not answered: they may be recorded, now or later, without being known
+    # here, and count as if they were until that is ruled out.
+    uncertain_starts: dict[int, TaskPlacement] = field(default_factory=dict)
     first_pending: int = 0
     guaranteed: bool = False
     # When the job should have finished by its class's objectives and its deadline, soonest first;
@@ -187,7 +190,13 @@
 
     def active_attempts(self) -> int:
         """Return the number of attempts that may be using a machine: recorded, or about to be."""
-        return len(self.placements) + len(self.pending_starts) + len(self.reserving)
+        attempts = len(self.placements) + len(self.pending_starts) + len(self.reserving)
+        return attempts + sum(
+            task not in self.placements
+            and task not in self.pending_starts
+            and task not in self.reserving
+            for task in self.uncertain_starts
+        )
 
 
 def new_job(context: ControllerContext, spec: JobSpec, shard: int, at_ms: int) -> Job:
--- a/starlingdeck/jobs/job_shard.py
+++ b/starlingdeck/jobs/job_shard.py
@@ -50,6 +50,7 @@
         self.resource_use: dict[int, int] = {}  # count -> units used by recorded attempts
         # Job -> when a cancellation of unknown outcome was sent.
         self.pending_cancellations: dict[int, float] = {}
+        self.uncertain_jobs: set[int] = set()  # jobs that may have uncertain starts
         # An attempt with units of counted resources has ended since the last scheduling cycle.
         self.units_released = False
         # Replicas of services were added or lost their placement since the last scheduling cycle.
@@ -151,6 +152,13 @@
         }
         return self.pending_cancellations
 
+    def jobs_with_uncertain_starts(self) -> list[Job]:
+        """Return the jobs with starts that may be recorded without being known here."""
+        jobs = [self.jobs[index] for index in self.uncertain_jobs if index in self.jobs]
+        uncertain = [job for job in jobs if job.uncertain_starts]
+        self.uncertain_jobs = {job.index for job in uncertain}
+        return uncertain
+
     def status(self, job: Job) -> api.JobStatus:
         """Return a job's status as reported to users."""
         running = sum(
--- a/starlingdeck/jobs/loader.py
+++ b/starlingdeck/jobs/loader.py
@@ -211,9 +211,15 @@
     job.guaranteed = old.guaranteed
     unchanged = old.key_versions.get(0) == version
     job.outcome_unknown = old.outcome_unknown and unchanged
-    if unchanged:
-        job.uncertain_chunks = {
-            number
-            for number in old.uncertain_chunks
-            if old.key_versions.get(number) == job.key_versions.get(number)
-        }
+    if not unchanged:
+        return
+    job.uncertain_chunks = {
+        number
+        for number in old.uncertain_chunks
+        if old.key_versions.get(number) == job.key_versions.get(number)
+    }
+    job.uncertain_starts = {
+        task: placement
+        for task, placement in old.uncertain_starts.items()
+        if task not in job.placements
+    }
--- a/starlingdeck/jobs/record_writer.py
+++ b/starlingdeck/jobs/record_writer.py
@@ -77,6 +77,9 @@
                 cancellation = self.shard.draft_cancellation(self.shard.jobs[index])
                 await self._write([cancellation], True)
                 return True
+            if fences := self._draft_fences():
+                await self._write(fences, True)
+                return True
             await self._settle_plugin()
             due_s = self.group_commit.due_s()
             if due_s == 0.0 and self.state.available_writes(True)[0]:
@@ -117,7 +120,12 @@
         except (StateError, TransactionConflictError) as error:
             # The flush goes on: only starts that need units wait for the outcome.
             log.info("ledger outcome unknown: shard=%d error=%r", self.shard.shard, error)
+            await self.loader.reload_stale()
+            return
         await self.loader.reload_stale()
+        for job in self.shard.jobs_with_uncertain_starts():
+            if job.resource_needs:
+                job.uncertain_starts.clear()
 
     async def _commit_group(self) -> bool:
         batch = self.group_commit.collect()
@@ -129,6 +137,21 @@
         await self.loader.reload_stale()
         return True
 
+    def _draft_fences(self) -> list[JobUpdate]:
+        """Draft rewrites of records that rule out their jobs' uncertain starts.
+
+        A transaction requires the version of the record that it was drafted from. Without a
+        rewrite, uncertain starts of a job that has nothing else to be written could be recorded at
+        any later time, and would count as used until then. Starts that need units of counted
+        resources are ruled out by a rewrite of the ledgers.
+        """
+        limit = min(
+            self.state.available_writes(True)[0], self.context.settings.settings.state.txn_ops
+        )
+        uncertain = self.shard.jobs_with_uncertain_starts()
+        jobs = [job for job in uncertain if not job.resource_needs][:limit]
+        return self._within_bytes(self.shard.drafter.draft_fences(jobs))
+
     # --- checkpoints and deletions
 
     async def _write_maintenance(self) -> bool:
@@ -207,6 +230,9 @@
             # executed before that write, the write is refused; after it, the transaction is.
             for update in updates:
                 update.job.stale = True
+                if update.pending_starts:
+                    update.job.uncertain_starts |= update.pending_starts
+                    self.shard.uncertain_jobs.add(update.job.index)
             if reservation is not None:
                 reservation.on_unknown_outcome()
             raise
--- a/starlingdeck/jobs/update_applier.py
+++ b/starlingdeck/jobs/update_applier.py
@@ -62,6 +62,7 @@
             # executed any more.
             job.outcome_unknown = False
             job.uncertain_chunks.clear()
+            job.uncertain_starts.clear()
         job.uncertain_chunks.difference_update(update.chunks)
 
     def _cancel(self, job: Job) -> None:
--- a/starlingdeck/jobs/update_drafter.py
+++ b/starlingdeck/jobs/update_drafter.py
@@ -176,9 +176,16 @@
         return [
             self.draft_rewrite(job, chunks[job.index], {}, {})
             for job in jobs
-            if not (job.stale or self.context.is_quarantined("job", job.id))
+            if self._may_rewrite(job)
         ]
 
+    def draft_fences(self, jobs: list[Job]) -> list[JobUpdate]:
+        """Draft unchanged rewrites of jobs' records, after which no older write is executed."""
+        return [self.draft_rewrite(job, [0], {}, {}) for job in jobs if self._may_rewrite(job)]
+
+    def _may_rewrite(self, job: Job) -> bool:
+        return not (job.stale or self.context.is_quarantined("job", job.id))
+
     def draft_cancellation(self, job: Job) -> JobUpdate:
         """Draft the cancellation of a job, which is written before the request is answered."""
         chunk = encode_chunk(self.context, job, 0, {}, {}, self.shard.commit_log.durable)
--- a/starlingdeck/scheduling/constraints.py
+++ b/starlingdeck/scheduling/constraints.py
@@ -46,7 +46,7 @@
 
 
 def count_by_zone(job: Job, leaving: TaskPlacement | None = None) -> dict[int, int]:
-    """Count the job's tasks by zone: those placed, starting, or with a reservation requested.
+    """Count the job's tasks by zone: placed, starting, maybe starting, or with a request.
 
     A task that is being moved also counts in its target's zone. `leaving` is a placement that its
     task is about to leave: it isn't counted, so that it doesn't restrict the task's next placement.
@@ -57,11 +57,15 @@
             counts[placement.zone] = counts.get(placement.zone, 0) + 1
         if placement.target is not None:
             counts[placement.target.zone] = counts.get(placement.target.zone, 0) + 1
-    for zone in job.reserving.values():
+    for zone in (*job.reserving.values(), *_zones_of_uncertain_starts(job)):
         counts[zone] = counts.get(zone, 0) + 1
     return counts
 
 
+def _zones_of_uncertain_starts(job: Job) -> list[int]:
+    return [placement.zone for placement in job.uncertain_starts.values()]
+
+
 def task_filter(job: Job, task: int, zone_allowed: ZoneFilter) -> CandidateFilter:
     """Return a filter for one task's machines: allowed zones, not those it failed on or runs on."""
     avoided, key = job.avoided_machines.get(task, ()), (job.index, task)
--- a/tests/support/simulated_cluster.py
+++ b/tests/support/simulated_cluster.py
@@ -48,6 +48,12 @@
 real_sleep = curio.sleep
 
 
+def change_as_sent(change: api.Change) -> api.Change:
+    """Return a change as it is now: its sender may change its value while it waits."""
+    value = msgspec.Raw(msgspec.json.encode(change.value))
+    return api.Change(change.put, value, change.lease, change.delete)
+
+
 class SimulatedStateClient(LeasedClient):
     """One controller's client of the state service, with injected failures.
 
@@ -78,17 +84,13 @@
         """Execute a transaction and return its revision, with the injected failures."""
         if self.budget:
             await self.budget.take(len(changes), urgent)
+        sent = [change_as_sent(change) for change in changes]
         if self.cluster.rng.random() < self.late_share and not (self.cut or self.state.down):
             delay = self.cluster.rng.uniform(0.5, 12.0)
             self.cluster.delayed_transactions.append(
-                (self.cluster.clock.at + delay, dict(conditions), changes)
+                (self.cluster.clock.at + delay, dict(conditions), sent)
             )
             raise OutcomeUnknownError("no answer")
-        # Encoded now, because the writer may change its values while it waits for the answer.
-        sent = [
-            api.Change(c.put, msgspec.Raw(msgspec.json.encode(c.value)), c.lease, c.delete)
-            for c in changes
-        ]
         conflict: TransactionConflictError | None = None
         revision = 0
         try:
