--- a/starlingdeck/jobs/job.py
+++ b/starlingdeck/jobs/job.py
@@ -152,9 +152,9 @@
             self.task_states[task] = PENDING
             self.first_pending = min(self.first_pending, task)
 
-    def completed_after(self, ends: Mapping[int, int]) -> int:
-        """Return the number of completed tasks once these ends, task to cause, are recorded."""
-        return self.completed + sum(
+    def newly_completed(self, ends: Mapping[int, int]) -> int:
+        """Return how many tasks these ends, task to cause, complete that have not completed yet."""
+        return sum(
             cause == api.CAUSE_DONE and self.task_states[task] != DONE
             for task, cause in ends.items()
         )
--- a/starlingdeck/jobs/update_applier.py
+++ b/starlingdeck/jobs/update_applier.py
@@ -40,7 +40,7 @@
         job.terminal_state = update.terminal_state
         event = counters.DONE if update.terminal_state == api.DONE else counters.CANCELLED
         self.context.counters.increment(job.spec.team, job.spec.cls, event)
-        job.completed = job.completed_after(update.pending_ends)
+        job.completed += job.newly_completed(update.pending_ends)
         shard.record_terminal_state(job.id, update.terminal_state, job.completed)
         shard.dirty_jobs.discard(job.index)
         shard.commit_log.remove_job(job.index, job.id, records.max_chunk_count(job.spec.tasks))
--- a/starlingdeck/jobs/update_drafter.py
+++ b/starlingdeck/jobs/update_drafter.py
@@ -56,7 +56,7 @@
 
     def _completed_tasks(self, job: Job) -> int:
         """Return the number of completed tasks, including those whose end is yet to be written."""
-        return job.completed_after(_recorded_ends(job))
+        return job.completed + job.newly_completed(_recorded_ends(job))
 
     def draft_update(self, job: Job, max_chunks: int, with_starts: bool) -> JobUpdate | None:
         """Draft the next write of a job's record; None when nothing is to be written."""
@@ -294,10 +294,7 @@
 
     Raises JobInvariantError: a user must not be told that a job is done before all its tasks are.
     """
-    ended = sum(
-        cause == api.CAUSE_DONE and job.task_states[task] != DONE for task, cause in ends.items()
-    )
-    completed = job.task_states.count(DONE) + ended
+    completed = job.task_states.count(DONE) + job.newly_completed(ends)
     if completed != job.spec.tasks:
         raise JobInvariantError(f"{completed} of {job.spec.tasks} tasks have completed")
 
