--- a/starlingdeck/jobs/job.py
+++ b/starlingdeck/jobs/job.py
@@ -19,10 +19,6 @@
 MIN_URGENT_RANK = 2  # from this rank on, starts are as urgent as accepting a submission
 
 
-class JobInvariantError(Exception):
-    """A change would contradict what a job's tasks are or may be; it is a fault of this program."""
-
-
 class EndProof(NamedTuple):
     """Why an attempt is known to be over, and when this became known (local clock, seconds)."""
 
--- a/starlingdeck/jobs/record_writer.py
+++ b/starlingdeck/jobs/record_writer.py
@@ -115,16 +115,16 @@
     async def _settle_plugin(self) -> None:
         if self.durable_plugin is None:
             return
+        settled = True
         try:
             await self.durable_plugin.settle(self.shard)
         except (StateError, TransactionConflictError) as error:
             # The flush goes on: only starts that need units wait for the outcome.
             log.info("ledger outcome unknown: shard=%d error=%r", self.shard.shard, error)
-            await self.loader.reload_stale()
-            return
+            settled = False
         await self.loader.reload_stale()
         for job in self.shard.jobs_with_uncertain_starts():
-            if job.resource_needs:
+            if settled and job.resource_needs:
                 job.uncertain_starts.clear()
 
     async def _commit_group(self) -> bool:
--- a/starlingdeck/jobs/update_drafter.py
+++ b/starlingdeck/jobs/update_drafter.py
@@ -8,7 +8,8 @@
 
 import msgspec
 
-from starlingdeck.jobs.job import DONE, Job, JobInvariantError, TaskPlacement
+from starlingdeck.jobs.invariants import check_all_completed, check_one_zone
+from starlingdeck.jobs.job import Job, TaskPlacement
 from starlingdeck.jobs.job_records import densest_chunks, encode_chunk, encode_placement
 from starlingdeck.jobs.job_update import JobUpdate, LogUpdate
 from starlingdeck.protocol import api
@@ -75,7 +76,7 @@
     def _draft_final(self, job: Job, state: str, ends: dict[int, int]) -> JobUpdate:
         """Draft the replacement of the job's unfinished record by its final one."""
         if state == api.DONE:
-            _check_all_completed(job, ends)
+            check_all_completed(job, ends)
         completed = 0 if state == api.DONE else self._completed_tasks(job)
         final = records.FinalRecord(state, job.spec.tasks, completed)
         return JobUpdate(
@@ -107,7 +108,7 @@
             if task not in job.withheld
         }
         if starts and job.spec.one_zone:
-            _check_one_zone(job, starts)
+            check_one_zone(job, starts)
         return starts
 
     def _drop_superseded_starts(self, job: Job) -> None:
@@ -289,27 +290,6 @@
         return [number for number, size in sizes.items() if size > limit]
 
 
-def _check_all_completed(job: Job, ends: dict[int, int]) -> None:
-    """Check a job that is about to be recorded as done, task by task and not by its count.
-
-    Raises JobInvariantError: a user must not be told that a job is done before all its tasks are.
-    """
-    completed = job.task_states.count(DONE) + job.newly_completed(ends)
-    if completed != job.spec.tasks:
-        raise JobInvariantError(f"{completed} of {job.spec.tasks} tasks have completed")
-
-
-def _check_one_zone(job: Job, starts: dict[int, TaskPlacement]) -> None:
-    """Check the starts of a job whose tasks must all be in one zone, against its other tasks.
-
-    Raises JobInvariantError.
-    """
-    zones = {placement.zone for task, placement in job.placements.items() if task not in starts}
-    zones |= {placement.zone for placement in starts.values()}
-    if len(zones) > 1:
-        raise JobInvariantError(f"tasks of a job for one zone would be in {len(zones)} zones")
-
-
 def _recorded_ends(job: Job) -> dict[int, int]:
     """Return the pending ends of attempts that are recorded."""
     return {task: cause for task, cause in job.pending_ends.items() if task in job.placements}
--- a/starlingdeck/scheduling/constraints.py
+++ b/starlingdeck/scheduling/constraints.py
@@ -52,20 +52,20 @@
     task is about to leave: it isn't counted, so that it doesn't restrict the task's next placement.
     """
     counts: dict[int, int] = {}
-    for placement in (*job.placements.values(), *job.pending_starts.values()):
+    for placement in (
+        *job.placements.values(),
+        *job.pending_starts.values(),
+        *job.uncertain_starts.values(),
+    ):
         if placement is not leaving:
             counts[placement.zone] = counts.get(placement.zone, 0) + 1
         if placement.target is not None:
             counts[placement.target.zone] = counts.get(placement.target.zone, 0) + 1
-    for zone in (*job.reserving.values(), *_zones_of_uncertain_starts(job)):
+    for zone in job.reserving.values():
         counts[zone] = counts.get(zone, 0) + 1
     return counts
 
 
-def _zones_of_uncertain_starts(job: Job) -> list[int]:
-    return [placement.zone for placement in job.uncertain_starts.values()]
-
-
 def task_filter(job: Job, task: int, zone_allowed: ZoneFilter) -> CandidateFilter:
     """Return a filter for one task's machines: allowed zones, not those it failed on or runs on."""
     avoided, key = job.avoided_machines.get(task, ()), (job.index, task)
--- a/tests/test_moves.py
+++ b/tests/test_moves.py
@@ -4,7 +4,8 @@
 
 import pytest
 
-from starlingdeck.jobs.job import JobInvariantError, TaskPlacement, new_job
+from starlingdeck.jobs.invariants import JobInvariantError
+from starlingdeck.jobs.job import TaskPlacement, new_job
 from starlingdeck.jobs.job_shard import JobShard
 from starlingdeck.protocol import api
 from tests.support.builders import Clock, make_context, spec
--- a/tests/test_task_completion.py
+++ b/tests/test_task_completion.py
@@ -6,7 +6,8 @@
 from hypothesis import strategies as st
 
 from starlingdeck.cluster.membership import ShardOwner
-from starlingdeck.jobs.job import DONE, Job, JobInvariantError, new_job
+from starlingdeck.jobs.invariants import JobInvariantError
+from starlingdeck.jobs.job import DONE, Job, new_job
 from starlingdeck.jobs.job_records import load_job
 from starlingdeck.jobs.job_shard import JobShard
 from starlingdeck.jobs.job_update import JobUpdate
