--- a/tests/failure_pairs.py
+++ b/tests/failure_pairs.py
@@ -14,8 +14,10 @@
 
 import pytest
 
+from tests.support.failure_scenarios import Script, run_scenario
+from tests.support.failures import FAILURE_KINDS
 from tests.support.simulated_cluster import SimulatedCluster, run_simulation
-from tests.test_concurrent_failures import CLUSTER_VARIANTS, FAILURE_KINDS, Script, run_scenario
+from tests.test_concurrent_failures import CLUSTER_VARIANTS
 
 FIRST_SEED, LAST_SEED = (int(n) for n in (os.environ.get("SEEDS", "1-1") + "-").split("-")[:2])
 VARIANT_NUMBERS = [int(n) for n in os.environ.get("PLACES", "0,1,2").split(",")]
--- a/tests/support/builders.py
+++ b/tests/support/builders.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from starlingdeck.cluster.sharding import shard_of_job
 from starlingdeck.context import ControllerContext
 from starlingdeck.protocol.api import JobSpec, MachineType
 from starlingdeck.protocol.config import GroupCommitSettings, Settings, Tuning
@@ -112,3 +113,9 @@
 def spec(uid: str = "j-000001", **overrides: Any) -> JobSpec:
     """Return the decoded description of a job, with fields replaced by `overrides`."""
     return msgspec.convert(job_body(uid, **overrides), JobSpec)
+
+
+def job_of_shard(shard: int, number: int = 0) -> str:
+    """Return the id of a job that belongs to the given one of three shards."""
+    names = (f"j-{i:06d}" for i in range(1000))
+    return [n for n in names if shard_of_job(n, 3) == shard][number]
--- a/tests/test_concurrent_failures.py
+++ b/tests/test_concurrent_failures.py
@@ -1,6 +1,5 @@
 """Concurrent failures: the table of combinations is in docs/design/meetings.md."""
 
-from collections.abc import Callable
 from typing import Any
 
 import msgspec
@@ -8,7 +7,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from starlingdeck.cluster.sharding import shard_of_job, shard_of_machine
+from starlingdeck.cluster.sharding import shard_of_machine
 from starlingdeck.interning import task_key
 from starlingdeck.jobs import job_shard
 from starlingdeck.jobs.job import new_job
@@ -18,22 +17,22 @@
 from starlingdeck.storage import records
 from starlingdeck.storage.limiter import TokenBucket
 from starlingdeck.storage.state import OutcomeUnknownError, put_change
-from tests.support.builders import spec
+from tests.support.builders import job_of_shard, spec
+from tests.support.failure_scenarios import (
+    FAILURE_SCENARIOS,
+    SCENARIO_CLUSTERS,
+    job_fields,
+    run_scenario,
+    wait_for_terminal_states,
+)
+from tests.support.failures import FAILURE_KINDS, inject_failure
 from tests.support.simulated_cluster import (
     CANCEL_S,
-    MAX_UNANSWERED_S,
     SimulatedCluster,
-    SimulatedWorker,
     run_simulation,
 )
 
 
-def job_of_shard(shard: int, number: int = 0) -> str:
-    """Return the id of a job that belongs to the given one of three shards."""
-    names = (f"j-{i:06d}" for i in range(1000))
-    return [n for n in names if shard_of_job(n, 3) == shard][number]
-
-
 async def run_spread_job(cluster: SimulatedCluster, shard: int, run_s: float) -> str:
     """Run a job of the shard on machines of all three shards."""
     await cluster.run(4.0)
@@ -89,445 +88,6 @@
     run_simulation(monkeypatch, cluster, drive())
 
 
-def machines_of(cluster: SimulatedCluster, number: int) -> list[SimulatedWorker]:
-    """Return the third of the machines that failures with this controller's number affect."""
-    return [w for i, w in enumerate(cluster.workers.values()) if i % 3 == number]
-
-
-def toggle(value: float, active: float) -> float:
-    """Return `active` if the value is 0, else 0."""
-    return 0.0 if value else active
-
-
-def toggle_state_service(cluster: SimulatedCluster, number: int) -> None:
-    client = cluster.clients[number]
-    client.cut = not client.cut
-
-
-def toggle_outage(cluster: SimulatedCluster, _number: int) -> None:
-    cluster.set_outage(not cluster.state.down)
-
-
-def toggle_partition(cluster: SimulatedCluster, number: int) -> None:
-    others = [i for i in range(3) if i != number]
-    cluster.partitions ^= {frozenset((number, i)) for i in others}
-
-
-def toggle_isolation(cluster: SimulatedCluster, number: int) -> None:
-    toggle_state_service(cluster, number)
-    toggle_partition(cluster, number)
-
-
-def crash_one(cluster: SimulatedCluster, number: int) -> None:
-    if number not in cluster.down:
-        cluster.crash(number, cluster.rng.choice([0.2, 6.0]))
-
-
-def crash_all(cluster: SimulatedCluster, number: int) -> None:
-    """Crash all controllers; this one restarts at once, the others later."""
-    for i in range(3):
-        if i not in cluster.down:
-            cluster.crash(i, 0.2 if i == number else 6.0)
-
-
-def crash_all_longer_than_a_lease(cluster: SimulatedCluster, _number: int) -> None:
-    for i in range(3):
-        if i not in cluster.down:
-            cluster.crash(i, 14.0 + i)
-
-
-def toggle_unreachable(cluster: SimulatedCluster, number: int) -> None:
-    for worker in machines_of(cluster, number):
-        worker.unreachable = not worker.unreachable
-
-
-def toggle_heartbeats_lost(cluster: SimulatedCluster, number: int) -> None:
-    for worker in machines_of(cluster, number):
-        worker.heartbeats_lost = not worker.heartbeats_lost
-
-
-def toggle_hung(cluster: SimulatedCluster, number: int) -> None:
-    for worker in machines_of(cluster, number):
-        worker.hung = not worker.hung
-
-
-def end_hangs(cluster: SimulatedCluster, _number: int) -> None:
-    for worker in cluster.workers.values():
-        worker.hung = False
-
-
-def restart_machines(cluster: SimulatedCluster, number: int) -> None:
-    for worker in machines_of(cluster, number):
-        worker.restart(cluster.clock.at)
-
-
-def add_machine(cluster: SimulatedCluster, number: int) -> None:
-    cluster.boot_machine(number)
-
-
-def toggle_worker_links(cluster: SimulatedCluster, number: int) -> None:
-    cluster.blocked_worker_links ^= {(number, w.name) for w in cluster.workers.values()}
-
-
-def toggle_late_transactions(cluster: SimulatedCluster, _number: int) -> None:
-    for client in cluster.clients:
-        client.late_share = toggle(client.late_share, 0.2)
-
-
-def toggle_lost_answers(cluster: SimulatedCluster, _number: int) -> None:
-    for client in cluster.clients:
-        client.lost_answer_share = toggle(client.lost_answer_share, 0.3)
-
-
-def toggle_slow_answers(cluster: SimulatedCluster, _number: int) -> None:
-    for client in cluster.clients:
-        client.max_latency_s = toggle(client.max_latency_s, 0.8)
-
-
-def toggle_unreadable_jobs(cluster: SimulatedCluster, number: int) -> None:
-    for client in cluster.clients:
-        client.unreadable_prefixes ^= {f"j/{number}/"}
-
-
-def toggle_duplicate_reports(cluster: SimulatedCluster, _number: int) -> None:
-    cluster.duplicate_share = toggle(cluster.duplicate_share, 0.3)
-
-
-def toggle_report_replays(cluster: SimulatedCluster, _number: int) -> None:
-    cluster.replay_share = toggle(cluster.replay_share, 0.3)
-
-
-def toggle_delayed_commands(cluster: SimulatedCluster, _number: int) -> None:
-    cluster.delayed_command_share = toggle(cluster.delayed_command_share, 0.3)
-
-
-def toggle_query_bursts(cluster: SimulatedCluster, _number: int) -> None:
-    cluster.burst_query_share = toggle(cluster.burst_query_share, 0.5)
-
-
-def toggle_report_latency(cluster: SimulatedCluster, _number: int) -> None:
-    cluster.report_latency_s = toggle(cluster.report_latency_s, 1.0)
-
-
-def toggle_invalid_requests(cluster: SimulatedCluster, _number: int) -> None:
-    cluster.send_invalid = not cluster.send_invalid
-
-
-def toggle_cancellation_at_end(cluster: SimulatedCluster, _number: int) -> None:
-    cluster.cancel_at_end_share = toggle(cluster.cancel_at_end_share, 0.5)
-
-
-def running_job(cluster: SimulatedCluster) -> str:
-    """Return the first running job whose cancellation was not requested, or an empty string."""
-    jobs = (name.split("/")[0] for _, name, _ in cluster.live_tasks())
-    return next((job for job in jobs if job not in cluster.cancellation_requested), "")
-
-
-def cancel_job(cluster: SimulatedCluster, number: int) -> None:
-    job = running_job(cluster)
-    if job:
-        cluster.pending_cancellations.append((job, number))
-
-
-def cancel_job_and_hang(cluster: SimulatedCluster, number: int) -> None:
-    """Cancel a job while its machines hang."""
-    job = running_job(cluster)
-    if job:
-        for worker, _, _ in cluster.live_tasks(job):
-            worker.hung = True
-        cluster.pending_cancellations.append((job, number))
-
-
-def give_termination_notice(cluster: SimulatedCluster, number: int) -> None:
-    """Give one machine a notice; those that have one already are replaced."""
-    cluster.replace_noticed_machines()
-    noticed = machines_of(cluster, number)[0]
-    noticed.notice_s, noticed.next_report_at = 3.0, cluster.clock.at
-
-
-def toggle_slow_peers(cluster: SimulatedCluster, _number: int) -> None:
-    cluster.peer_latency_s = toggle(cluster.peer_latency_s, 1.4)
-
-
-def toggle_zone(cluster: SimulatedCluster, number: int) -> None:
-    cut_zone(cluster, cluster.zones[number])
-
-
-# Kind of failure, as scenarios name it -> its function. Functions named "toggle" begin a failure,
-# or end it if it is active.
-FAILURES: dict[str, Callable[[SimulatedCluster, int], None]] = {
-    "state service refused": toggle_state_service,
-    "state service outage": toggle_outage,
-    "controller partition": toggle_partition,
-    "controller isolation": toggle_isolation,
-    "crash": crash_one,
-    "all crash": crash_all,
-    "all crash longer than a lease": crash_all_longer_than_a_lease,
-    "machines unreachable": toggle_unreachable,
-    "heartbeats lost": toggle_heartbeats_lost,
-    "hang": toggle_hung,
-    "end hangs": end_hangs,
-    "restart machines": restart_machines,
-    "add machine": add_machine,
-    "worker links blocked": toggle_worker_links,
-    "late transactions": toggle_late_transactions,
-    "transaction answers lost": toggle_lost_answers,
-    "state service slow": toggle_slow_answers,
-    "jobs unreadable": toggle_unreadable_jobs,
-    "duplicate reports": toggle_duplicate_reports,
-    "report replays": toggle_report_replays,
-    "late commands": toggle_delayed_commands,
-    "query bursts": toggle_query_bursts,
-    "report latency": toggle_report_latency,
-    "invalid requests": toggle_invalid_requests,
-    "jobs cancelled at end": toggle_cancellation_at_end,
-    "cancel": cancel_job,
-    "cancel and hang": cancel_job_and_hang,
-    "zone partition": toggle_zone,
-    "termination notice": give_termination_notice,
-    "peers slow": toggle_slow_peers,
-}
-
-
-def inject_failure(cluster: SimulatedCluster, kind: str, number: int) -> None:
-    """Begin or end a failure of this kind, on one controller or its third of the machines."""
-    FAILURES[kind](cluster, number)
-
-
-def cut_zone(cluster: SimulatedCluster, zone: str) -> None:
-    """Partition a zone from all else, or heal the partition."""
-    inside = [i for i, z in enumerate(cluster.zones) if z == zone]
-    for i in range(len(cluster.zones)):
-        cluster.partitions ^= {frozenset((i, j)) for j in inside if i not in inside}
-        cluster.blocked_worker_links ^= {
-            (i, w.name) for w in cluster.workers.values() if (w.zone == zone) != (i in inside)
-        }
-    for i in inside:
-        cluster.clients[i].cut = not cluster.clients[i].cut
-    cluster.closed_to_users ^= set(inside)
-
-
-async def wait_for_terminal_states(
-    cluster: SimulatedCluster, names: list[str], within_s: float = 150.0
-) -> None:
-    """End all failures, then query until each job is in a terminal state, at most for `within_s`.
-
-    Also check that no accepted job's queries stay unanswered for `MAX_UNANSWERED_S`.
-    """
-    cluster.heal()
-    began = cluster.clock.at
-    while any(n not in cluster.reported_terminal for n in names):
-        assert cluster.clock.at - began < within_s, [
-            n for n in names if n not in cluster.reported_terminal
-        ]
-        await cluster.poll(names)
-        await cluster.run(2.0)
-        for name in cluster.acknowledged:
-            unanswered_s = cluster.clock.at - max(began, cluster.answered_at[name])
-            assert unanswered_s < MAX_UNANSWERED_S, f"forgotten: {name}"
-
-
-# Steps: when (seconds), which kind of failure begins or ends, and the number of its controller.
-# Steps of the same time are executed in alphabetical order of their kinds.
-Script = list[tuple[float, str, int]]
-FAILURE_SCENARIOS: dict[str, Script] = {
-    "an owner cut off from state service and peers": [
-        (0.0, "controller isolation", 0), (25.0, "controller isolation", 0),
-    ],
-    "an owner cut off twice, back before its lease ends": [
-        (0.0, "controller isolation", 0), (1.5, "controller isolation", 0),
-        (3.0, "controller isolation", 0),
-    ],
-    "an owner crashes while worker links are blocked": [
-        (0.0, "worker links blocked", 0), (0.0, "worker links blocked", 1),
-        (0.0, "worker links blocked", 2), (0.5, "crash", 0), (7.0, "worker links blocked", 0),
-        (7.0, "worker links blocked", 1), (7.0, "worker links blocked", 2),
-    ],
-    "an owner crashes while machines are unreachable": [
-        (0.0, "machines unreachable", 0), (0.0, "machines unreachable", 1), (0.5, "crash", 0),
-        (14.0, "machines unreachable", 0), (14.0, "machines unreachable", 1),
-    ],
-    "late transactions, then one controller refused, then an outage": [
-        (0.0, "late transactions", 0), (6.0, "state service refused", 0),
-        (9.0, "state service outage", 0), (54.0, "state service outage", 0),
-        (55.0, "late transactions", 0),
-    ],
-    "late commands during a cancellation and a takeover": [
-        (0.0, "late commands", 0), (3.0, "crash", 0), (20.0, "late commands", 0),
-    ],
-    "late commands during an outage": [
-        (0.0, "late commands", 0), (2.0, "state service outage", 0),
-        (22.0, "state service outage", 0),
-    ],
-    "late transactions during takeovers": [
-        (0.0, "late transactions", 0), (2.0, "controller isolation", 0),
-        (8.0, "controller isolation", 0), (10.0, "controller isolation", 1),
-        (16.0, "controller isolation", 1), (20.0, "late transactions", 0),
-    ],
-    "old reports after a change of owner and session": [
-        (0.0, "duplicate reports", 0), (1.0, "crash", 0), (4.0, "worker links blocked", 1),
-        (18.0, "worker links blocked", 1), (24.0, "crash", 1), (30.0, "duplicate reports", 0),
-    ],
-    "all controllers crash, one restarts at once": [
-        (0.0, "late transactions", 0), (0.5, "all crash", 1), (9.0, "all crash", 0),
-        (12.0, "late transactions", 0),
-    ],
-    "ownership moves and returns within seconds": [
-        (0.0, "state service refused", 0), (2.8, "state service refused", 0),
-        (5.0, "state service refused", 1), (7.8, "state service refused", 1),
-        (8.0, "state service refused", 0), (10.8, "state service refused", 0),
-    ],
-    "query bursts": [(0.0, "query bursts", 0), (3.0, "cancel", 1), (30.0, "query bursts", 0)],
-    "query bursts while owners change": [
-        (0.0, "query bursts", 0), (1.0, "state service refused", 0), (2.0, "cancel", 0),
-        (5.0, "state service refused", 0), (6.0, "crash", 1), (7.0, "cancel", 1),
-        (9.0, "controller isolation", 2), (12.0, "controller isolation", 2),
-        (25.0, "query bursts", 0),
-    ],
-    "query bursts while the state service is slow": [
-        (0.0, "query bursts", 0), (0.0, "state service slow", 0), (2.0, "controller partition", 0),
-        (3.0, "cancel", 2), (5.0, "cancel", 0), (12.0, "controller partition", 0),
-        (24.0, "state service slow", 0), (25.0, "query bursts", 0),
-    ],
-    "transaction answers lost while other controllers read": [
-        (0.0, "transaction answers lost", 0), (0.0, "query bursts", 0),
-        (0.0, "controller partition", 0), (3.0, "cancel", 1), (6.0, "controller partition", 0),
-        (7.0, "controller partition", 1), (9.0, "cancel", 0), (14.0, "controller partition", 1),
-        (20.0, "transaction answers lost", 0), (21.0, "query bursts", 0),
-    ],
-    "transaction answers lost during takeovers": [
-        (0.0, "transaction answers lost", 0), (0.0, "query bursts", 0),
-        (1.0, "state service refused", 0), (4.0, "state service refused", 0), (5.0, "crash", 1),
-        (6.0, "cancel", 2), (14.0, "crash", 0), (26.0, "transaction answers lost", 0),
-        (26.0, "query bursts", 0),
-    ],
-    "at the team limit, cancelled while worker links are blocked, the owner crashes": [
-        (0.0, "worker links blocked", 0), (0.0, "worker links blocked", 1),
-        (0.0, "worker links blocked", 2), (0.2, "cancel", 1), (0.4, "cancel", 2), (1.0, "crash", 0),
-        (3.0, "cancel", 1), (16.0, "worker links blocked", 0), (16.0, "worker links blocked", 1),
-        (16.0, "worker links blocked", 2),
-    ],
-    "at the team limit, cancelled while machines hang, the owner crashes": [
-        (0.0, "cancel and hang", 1), (0.2, "cancel and hang", 2), (1.0, "crash", 0),
-        (7.0, "end hangs", 0), (12.0, "cancel and hang", 0), (13.0, "crash", 1),
-        (30.0, "end hangs", 0),
-    ],
-    "at the team limit, quota transferred while transactions are late": [
-        (0.0, "late transactions", 0), (0.0, "cancel", 1), (2.0, "crash", 0), (4.0, "hang", 1),
-        (6.0, "cancel", 2), (10.0, "crash", 1), (18.0, "end hangs", 0),
-        (24.0, "late transactions", 0),
-    ],
-    "at the team limit, transaction answers lost": [
-        (0.0, "transaction answers lost", 0), (1.0, "cancel", 1), (2.0, "crash", 2),
-        (8.0, "cancel", 0), (9.0, "state service refused", 0), (14.0, "state service refused", 0),
-        (24.0, "transaction answers lost", 0),
-    ],
-    "cancelled during a failover": [
-        (0.0, "jobs unreadable", 0), (0.0, "state service refused", 0), (1.0, "cancel", 1),
-        (2.6, "cancel", 2), (3.2, "cancel", 0), (4.5, "jobs unreadable", 0), (4.6, "cancel", 1),
-        (5.0, "state service refused", 0), (5.2, "cancel", 0), (5.8, "cancel", 1),
-        (6.6, "cancel", 2),
-    ],
-    "cancelled as one controller is refused, outage a second later": [
-        (0.0, "state service refused", 0), (0.0, "cancel", 0), (0.0, "cancel", 1),
-        (0.1, "cancel", 2), (1.0, "state service outage", 0), (14.0, "state service refused", 0),
-        (47.0, "state service outage", 0),
-    ],
-    "machines added while transactions are late, the owner crashes": [
-        (0.0, "late transactions", 0), (0.0, "add machine", 0), (0.1, "add machine", 1),
-        (0.6, "crash", 0), (1.0, "add machine", 0), (8.0, "add machine", 2), (8.5, "crash", 2),
-        (16.0, "late transactions", 0),
-    ],
-    "machines added while the state service is slow, the owner crashes": [
-        (0.0, "state service slow", 0), (0.0, "add machine", 0), (0.4, "add machine", 1),
-        (0.8, "crash", 0), (9.0, "add machine", 0), (9.6, "state service refused", 0),
-        (14.0, "state service refused", 0), (16.0, "state service slow", 0),
-    ],
-    "old reports replayed to all controllers after a takeover": [
-        (0.0, "report replays", 0), (4.0, "restart machines", 1), (5.0, "worker links blocked", 1),
-        (6.0, "crash", 0), (17.0, "worker links blocked", 1), (20.0, "crash", 1),
-        (30.0, "report replays", 0),
-    ],
-    "owners change ten times, also inside an outage": [
-        *((12.0 * i + 6.0 * j, "state service refused", i % 3) for i in range(5) for j in (0, 0.6)),
-        (21.0, "state service outage", 0), (27.0, "state service outage", 0), (62.0, "crash", 0),
-        (70.0, "crash", 1), (78.0, "crash", 2), (86.0, "crash", 0), (94.0, "crash", 1),
-    ],
-    "all controllers are down for longer than a lease": [
-        (0.0, "cancel", 1), (0.5, "all crash longer than a lease", 0),
-    ],
-    "jobs cancelled at their end during query bursts": [
-        (0.0, "jobs cancelled at end", 0), (0.0, "query bursts", 0),
-        (40.0, "jobs cancelled at end", 0), (40.0, "query bursts", 0),
-    ],
-    "jobs cancelled at their end during query bursts, state service slow": [
-        (0.0, "jobs cancelled at end", 0), (0.0, "query bursts", 0), (0.0, "state service slow", 0),
-        (0.0, "controller partition", 1), (30.0, "jobs cancelled at end", 0),
-        (30.0, "query bursts", 0), (30.0, "state service slow", 0),
-        (30.0, "controller partition", 1),
-    ],
-    "a zone is partitioned for longer than a lease": [
-        (0.0, "cancel", 0), (0.5, "zone partition", 1), (1.0, "cancel", 0),
-        (17.0, "zone partition", 1),
-    ],
-    "a zone is partitioned twice, with jobs bound to it": [
-        (0.0, "zone partition", 1), (4.0, "zone partition", 1), (8.0, "hang", 1),
-        (20.0, "end hangs", 0), (22.0, "zone partition", 1), (40.0, "zone partition", 1),
-    ],
-    "jobs bound to a zone lose machines": [
-        (0.0, "hang", 0), (1.0, "hang", 1), (9.0, "add machine", 0), (9.0, "add machine", 1),
-        (24.0, "end hangs", 0), (25.0, "restart machines", 2),
-    ],
-    "heartbeats lost while commands arrive": [
-        (0.0, "heartbeats lost", 0), (2.0, "crash", 0), (8.0, "heartbeats lost", 0),
-        (10.0, "heartbeats lost", 1), (12.0, "cancel", 2), (26.0, "heartbeats lost", 1),
-    ],
-    "heartbeats lost, commands arrive as leases expire": [
-        (0.0, "report latency", 0), (3.0, "heartbeats lost", 0), (3.2, "heartbeats lost", 1),
-        *((11.0 + 0.2 * i, "cancel", i % 3) for i in range(12)), (29.0, "heartbeats lost", 0),
-        (30.0, "heartbeats lost", 1),
-    ],
-    "cancelled, then the machine hangs and resumes": [
-        (0.0, "late commands", 0), (0.0, "cancel and hang", 0), (0.2, "cancel and hang", 1),
-        (8.0, "end hangs", 0), (10.0, "cancel and hang", 2), (24.0, "end hangs", 0),
-        (24.0, "late commands", 0),
-    ],
-    "invalid requests while owners change": [
-        (0.0, "invalid requests", 0), (1.0, "state service refused", 0),
-        (5.0, "state service refused", 0), (6.0, "crash", 1), (9.0, "state service slow", 0),
-        (16.0, "state service slow", 0), (17.0, "invalid requests", 0),
-    ],
-    "more work than capacity, state service slow and commands late": [
-        (0.0, "state service slow", 0), (0.0, "late commands", 0), (4.0, "cancel", 1),
-        (30.0, "state service slow", 0), (30.0, "late commands", 0),
-    ],
-    "tasks end while their moves are answered late": [
-        (0.0, "peers slow", 0),
-        *((3.0 * i + 0.8, "termination notice", i % 3) for i in range(6)),
-        (20.0, "peers slow", 0),
-    ],
-}  # fmt: skip
-# Parameters of the cluster that differ from the defaults, by scenario.
-SCENARIO_CLUSTERS: dict[str, dict[str, Any]] = {
-    scenario: {"limit": 8.0}
-    for scenario in FAILURE_SCENARIOS
-    if scenario.startswith("at the team limit")
-} | {name: {"zones": ("a", "b", "a")} for name in FAILURE_SCENARIOS if "a zone" in name}
-SCENARIO_CLUSTERS["tasks end while their moves are answered late"] = {
-    "zones": ("a", "b", "a"),
-    "workers": 9,
-}
-
-
-def job_fields(cluster: SimulatedCluster, number: int) -> dict[str, Any]:
-    """Return the fields of the job with this number: placement constraints, team and rank."""
-    if cluster.limit:
-        return {"crew": "blue"}
-    if len(set(cluster.zones)) > 1:
-        return ({"roost": "b"}, {"spread": True}, {"same_place": True}, {})[number % 4]
-    return {"rank": ("normal", "urgent", "idle")[number % 3]} if cluster.mixed_ranks else {}
-
-
 @pytest.mark.parametrize("seed", range(3))
 @pytest.mark.parametrize("scenario", FAILURE_SCENARIOS)
 def test_failure_scenario(monkeypatch: pytest.MonkeyPatch, scenario: str, seed: int) -> None:
@@ -536,32 +96,6 @@
     run_simulation(monkeypatch, cluster, run_scenario(cluster, FAILURE_SCENARIOS[scenario]))
 
 
-async def run_scenario(cluster: SimulatedCluster, script: Script) -> None:
-    """Run jobs of two and three tasks that end at very different times, while failures begin and
-    end. Meanwhile up to three jobs are cancelled, first at controllers that did not own them at the
-    start, and every second each job is queried at a random controller."""
-    names = [
-        job_of_shard(shard, n) for n in range(6 if cluster.mixed_ranks else 3) for shard in range(3)
-    ]
-    await cluster.run(4.0)
-    for i, name in enumerate(names):
-        cluster.run_times[f"{name}/0"] = 4.0 + i
-        fields = job_fields(cluster, i)
-        await cluster.spawn(lambda n=name, c=2 + i % 2, f=fields: cluster.submit(n, c, 45.0, **f))
-    await cluster.run(5.0)
-    script, began = sorted(script), cluster.clock.at
-    for step in range(int(script[-1][0]) + 2):
-        for at, kind, number in [s for s in script if step <= s[0] < step + 1]:
-            await cluster.run(max(0.0, began + at - cluster.clock.at))
-            inject_failure(cluster, kind, number)
-        if step % 3 == 1 and step < 9:
-            name = names[step // 3 * 3]
-            await cluster.spawn(cluster.cancel, name, (1, 2, 0))
-        await cluster.poll(names)
-        await cluster.run(max(0.0, began + step + 1 - cluster.clock.at))
-    await wait_for_terminal_states(cluster, names)
-
-
 @pytest.mark.parametrize("blocked_s", [2.0, 16.0])
 def test_long_tasks_outlive_their_owner_while_unreachable(
     monkeypatch: pytest.MonkeyPatch, blocked_s: float
@@ -669,14 +203,6 @@
     assert run_simulation(monkeypatch, cluster, drive()) == 12
 
 
-FAILURE_KINDS = (
-    "state service refused", "state service outage", "controller partition", "controller isolation",
-    "crash", "all crash", "machines unreachable", "worker links blocked", "late transactions",
-    "duplicate reports", "late commands", "transaction answers lost", "state service slow",
-    "jobs unreadable", "report replays", "heartbeats lost", "hang", "zone partition",
-    "restart machines", "add machine", "all crash longer than a lease", "query bursts",
-    "invalid requests", "jobs cancelled at end", "cancel", "cancel and hang",
-)  # fmt: skip
 CLUSTER_VARIANTS: list[dict[str, Any]] = [{}, {"limit": 8.0}, {"zones": ("a", "b", "a")}]
 STEPS = st.tuples(
     st.sampled_from(FAILURE_KINDS), st.integers(0, 2), st.sampled_from([0.2, 1.0, 3.0, 8.0, 20.0])
--- a/tests/test_group_commit.py
+++ b/tests/test_group_commit.py
@@ -8,16 +8,12 @@
 from starlingdeck.jobs import commit_log
 from starlingdeck.storage.commit_log import LOG_PREFIX
 from tests.support import builders
+from tests.support.builders import job_of_shard
+from tests.support.failure_scenarios import FAILURE_SCENARIOS, SCENARIO_CLUSTERS, run_scenario
+from tests.support.failures import inject_failure
 from tests.support.reference_model import InvariantViolationError, ReferenceModel
 from tests.support.simulated_cluster import SimulatedCluster, run_simulation
-from tests.test_concurrent_failures import (
-    FAILURE_SCENARIOS,
-    SCENARIO_CLUSTERS,
-    check_random_failures,
-    inject_failure,
-    job_of_shard,
-    run_scenario,
-)
+from tests.test_concurrent_failures import check_random_failures
 from tests.test_read_consistency import ask_all, counts_while_writing, run_staggered_job
 
 Patch = pytest.MonkeyPatch
--- a/tests/test_invariant_checks.py
+++ b/tests/test_invariant_checks.py
@@ -11,9 +11,10 @@
 from starlingdeck.jobs.job_shard import JobShard
 from starlingdeck.protocol import api
 from starlingdeck.transport.server import Request, Response
+from tests.support.builders import job_of_shard
+from tests.support.failure_scenarios import wait_for_terminal_states
 from tests.support.reference_model import FakeWorker, InvariantViolationError
 from tests.support.simulated_cluster import SimulatedCluster, run_simulation
-from tests.test_concurrent_failures import job_of_shard, wait_for_terminal_states
 
 Patch = pytest.MonkeyPatch
 NAME = job_of_shard(0)
--- a/tests/test_moves.py
+++ b/tests/test_moves.py
@@ -8,9 +8,8 @@
 from starlingdeck.jobs.job import TaskPlacement, new_job
 from starlingdeck.jobs.job_shard import JobShard
 from starlingdeck.protocol import api
-from tests.support.builders import Clock, make_context, spec
+from tests.support.builders import Clock, job_of_shard, make_context, spec
 from tests.support.simulated_cluster import SimulatedCluster, run_simulation
-from tests.test_concurrent_failures import job_of_shard
 
 NOTICE_S = 12.0
 SAVE_S = 4.0
--- a/tests/test_read_consistency.py
+++ b/tests/test_read_consistency.py
@@ -14,9 +14,9 @@
 from starlingdeck.storage import records
 from starlingdeck.storage.state import StateError
 from starlingdeck.transport.server import Request, Response
-from tests.support.builders import job_body
+from tests.support.builders import job_body, job_of_shard
+from tests.support.failures import inject_failure
 from tests.support.simulated_cluster import SimulatedCluster, run_simulation
-from tests.test_concurrent_failures import inject_failure, job_of_shard
 
 # Both are less than a transaction's time-out.
 TAKEOVER_ANSWER_DELAY_S = 1.5
--- a/tests/test_task_completion.py
+++ b/tests/test_task_completion.py
@@ -15,9 +15,8 @@
 from starlingdeck.protocol import peer_pb2 as pb
 from starlingdeck.scheduling.decision import PlacementDecision
 from starlingdeck.storage.records import Chunk, JobRecord, PlacementRecord
-from tests.support.builders import Clock, make_context, spec
+from tests.support.builders import Clock, job_of_shard, make_context, spec
 from tests.support.simulated_cluster import SimulatedCluster, run_simulation
-from tests.test_concurrent_failures import job_of_shard
 from tests.test_planner import machine, planning_controller
 
 REPLY_DELAY_S = 1.4  # less than the controllers' time-out for each other's replies
--- a/tests/test_uncertain_starts.py
+++ b/tests/test_uncertain_starts.py
@@ -5,13 +5,13 @@
 
 from starlingdeck.storage import records
 from starlingdeck.storage.state import OutcomeUnknownError
+from tests.support.builders import job_of_shard
 from tests.support.simulated_cluster import (
     TRANSACTION_TIMEOUT_S,
     SimulatedCluster,
     change_as_sent,
     run_simulation,
 )
-from tests.test_concurrent_failures import job_of_shard
 
 LATE_S = 8.0
 NEVER_S = 1e9
