--- a/tests/failure_pairs.py
+++ b/tests/failure_pairs.py
@@ -4,8 +4,8 @@
     SEEDS=5-7 PLACES=1 python3 -m pytest -n auto tests/failure_pairs.py -k "crash-transaction"
 
 The first failure begins at once, the second 1.5 s later. After 12 and 15 s each ends or, if it is
-of a kind that does not last, occurs again. SEEDS is a range of seeds, PLACES a list of the numbers
-of the clusters.
+of a kind that does not last, occurs again. SEEDS is a seed or a range of seeds, PLACES a list of
+the numbers of the clusters.
 """
 
 import itertools
@@ -19,7 +19,8 @@
 from tests.support.simulated_cluster import SimulatedCluster, run_simulation
 from tests.test_concurrent_failures import CLUSTER_VARIANTS
 
-FIRST_SEED, LAST_SEED = (int(n) for n in (os.environ.get("SEEDS", "1-1") + "-").split("-")[:2])
+SEED_RANGE = os.environ.get("SEEDS", "1").split("-")  # one seed, or the first and the last
+FIRST_SEED, LAST_SEED = int(SEED_RANGE[0]), int(SEED_RANGE[-1])
 VARIANT_NUMBERS = [int(n) for n in os.environ.get("PLACES", "0,1,2").split(",")]
 
 
