--- a/tests/support/failures.py
+++ b/tests/support/failures.py
@@ -117,6 +117,14 @@
     cluster.delayed_command_share = toggle(cluster.delayed_command_share, 0.3)
 
 
+def toggle_repeated_commands(cluster: SimulatedCluster, _number: int) -> None:
+    cluster.repeated_command_share = toggle(cluster.repeated_command_share, 0.5)
+
+
+def toggle_failing_tasks(cluster: SimulatedCluster, _number: int) -> None:
+    cluster.task_failure_share = toggle(cluster.task_failure_share, 0.4)
+
+
 def toggle_query_bursts(cluster: SimulatedCluster, _number: int) -> None:
     cluster.burst_query_share = toggle(cluster.burst_query_share, 0.5)
 
@@ -193,6 +201,8 @@
     "duplicate reports": toggle_duplicate_reports,
     "report replays": toggle_report_replays,
     "late commands": toggle_delayed_commands,
+    "repeated commands": toggle_repeated_commands,
+    "tasks fail": toggle_failing_tasks,
     "query bursts": toggle_query_bursts,
     "report latency": toggle_report_latency,
     "invalid requests": toggle_invalid_requests,
--- a/tests/support/simulated_cluster.py
+++ b/tests/support/simulated_cluster.py
@@ -45,6 +45,9 @@
 TRANSACTION_TIMEOUT_S = 2.0  # how long a controller waits for the answer to a transaction
 MAX_WAIT_BESIDE_CAPACITY_S = 90.0  # of a task while capacity that fits it is free
 ON_MACHINE_STATES = ("running", "flushing")  # the rules count a task in these states
+FAILING_TASK_RUN_S = 0.5  # how long a task runs that ends with an error
+REPEAT_DELAY_S = (2.0, 60.0)  # how much later a call that was answered arrives once more
+MAX_REPEATS = 3  # of one call
 real_sleep = curio.sleep
 
 
@@ -139,6 +142,7 @@
     controller: int = 0
     next_report_at: float = 0.0
     exit_times: dict[str, float] = field(default_factory=dict)
+    failing: set[str] = field(default_factory=set)  # tasks that will end with an error
     heartbeats_lost: bool = False
     hung: bool = False
 
@@ -151,10 +155,16 @@
                 task.state = "running"
                 self.model.on_task_started(self, name)
                 self.exit_times[name] = now + self.model.run_time_s(name)
+                self.failing.discard(name)
                 if name in self.completed:
                     self.exit_times[name] = now
+                elif self.model.draw_task_failure():
+                    self.failing.add(name)
+                    self.exit_times[name] = now + FAILING_TASK_RUN_S
             elif task.state == "flushing" and self.exit_times[name] <= now:
                 task.state, task.exit_reason = "exited", "halted"
+            elif task.state == "running" and self.exit_times[name] <= now and name in self.failing:
+                task.state, task.exit_reason = "exited", "error"
             elif task.state == "running" and self.exit_times[name] <= now:
                 task.state, task.exit_reason = "exited", "done"
                 self.completed.add(name)
@@ -223,6 +233,7 @@
         status, report = worker.handle_commands(commands)
         if draw < cluster.delayed_command_share:
             raise NoResponseError("answer is delayed")
+        cluster.schedule_repeats(worker.name, commands)
         return Reply(status, msgspec.json.encode(report), None)
 
 
@@ -250,6 +261,10 @@
         # Machine shard, its ownership epoch, and a report to deliver once that epoch has ended.
         self.replays_at_takeover: list[tuple[int, int, bytes]] = []
         self.delayed_commands: list[tuple[float, str, api.Commands]] = []
+        # As `delayed_commands`, but these were executed and answered before.
+        self.repeated_commands: list[tuple[float, str, api.Commands]] = []
+        self.repeated_command_share = 0.0  # share of the answered commands that arrive once more
+        self.task_failure_share = 0.0  # share of the starts after which the task fails
         self.duplicate_share = self.replay_share = 0.0  # shares of the reports
         self.delayed_command_share = 0.0  # half of them arrive late, of half the answer is lost
         self.zones = zones
@@ -366,6 +381,7 @@
         self.blocked_worker_links.clear()
         self.closed_to_users.clear()
         self.duplicate_share = self.delayed_command_share = self.replay_share = 0.0
+        self.repeated_command_share = self.task_failure_share = 0.0
         self.burst_query_share = self.cancel_at_end_share = 0.0
         self.report_latency_s = self.peer_latency_s = 0.0
         self.send_invalid = False
@@ -464,6 +480,17 @@
         if ended and job in self.acknowledged and self.rng.random() < self.cancel_at_end_share:
             self.pending_cancellations.append((job, self.rng.randrange(len(self.controllers))))
 
+    def draw_task_failure(self) -> bool:
+        """Return whether a task that starts now will end with an error."""
+        return bool(self.task_failure_share) and self.rng.random() < self.task_failure_share
+
+    def schedule_repeats(self, worker: str, commands: api.Commands) -> None:
+        """Have some of the commands that a worker has answered arrive there once more, late."""
+        if self.repeated_command_share and self.rng.random() < self.repeated_command_share:
+            for _ in range(self.rng.randint(1, MAX_REPEATS)):
+                arrives_at = self.clock.at + self.rng.uniform(*REPEAT_DELAY_S)
+                self.repeated_commands.append((arrives_at, worker, commands))
+
     def boot_machine(self, shard: int) -> SimulatedWorker:
         """Add a running machine to a shard."""
         zone, number = self.zones[shard], 100 + len(self.workers)
@@ -770,11 +797,24 @@
             _, name, commands = delayed
             if name in self.workers:
                 self.workers[name].handle_commands(commands)
+        for repeat in [item for item in self.repeated_commands if item[0] <= now]:
+            self.repeated_commands.remove(repeat)
+            self.deliver_repeat(*repeat[1:])
         for duplicate in [item for item in self.duplicate_reports if item[0] <= now]:
             self.duplicate_reports.remove(duplicate)
             await self.deliver_duplicate(duplicate[1])
         await self.deliver_replays()
 
+    def deliver_repeat(self, name: str, commands: api.Commands) -> None:
+        """Deliver commands that were answered before once more.
+
+        A machine that has restarted and has seen no token yet would execute any commands. No
+        message that a controller may still send precedes them, so that case is left out.
+        """
+        worker = self.workers.get(name)
+        if worker is not None and worker.token:
+            worker.handle_commands(commands)
+
     async def deliver_replays(self) -> None:
         """Deliver the recorded reports whose machine shard has a new owner by now."""
         for replay in [
