--- a/starlingdeck/api/owner_handler.py
+++ b/starlingdeck/api/owner_handler.py
@@ -127,14 +127,10 @@
         submitted_ms, began_at = context.wall_clock_ms(), context.now()
         job = new_job(context, spec, shard.shard, submitted_ms)
         job_key = records.job_key(shard.shard, spec.id)
-        conditions = {
-            job_key: 0,
-            records.final_key(shard.shard, spec.id): 0,
-            records.shard_key(shard.shard): shard.token,
-        }
+        conditions = {job_key: 0, records.final_key(shard.shard, spec.id): 0}
         record = put_change(job_key, JobRecord(spec, submitted_ms))
         try:
-            revision = await self.services.state.transact(conditions, [record], True)
+            revision = await self._transact_owned(shard, conditions, record)
         except TransactionConflictError:
             await self._reload(writer, spec.id)
             return await self._existing_status(writer, spec.id, began_at)
@@ -156,6 +152,25 @@
         shard.jobs[job.index] = job
         return self._owner_answer(writer, 201, api.JobStatus(spec.id, api.QUEUED), job)
 
+    async def _transact_owned(
+        self, shard: JobShard, conditions: dict[str, int], change: api.Change
+    ) -> int:
+        """Execute a transaction that requires the ownership of a shard; return its revision.
+
+        It is sent again if it was refused only because the shard's token rose meanwhile. Raises the
+        errors of StateClient.transact.
+        """
+        shard_key = records.shard_key(shard.shard)
+        while True:
+            token = shard.token
+            try:
+                return await self.services.state.transact(
+                    conditions | {shard_key: token}, [change], True
+                )
+            except TransactionConflictError as error:
+                if error.failed != [shard_key] or token == shard.token:
+                    raise
+
     async def _existing_status(self, writer: RecordWriter, name: str, began_at: float) -> JobAnswer:
         """Return the status of a job that turned out to exist when it was to be created."""
         answer = await self._known_status(writer, name, began_at)
--- a/starlingdeck/controller/controller.py
+++ b/starlingdeck/controller/controller.py
@@ -23,6 +23,7 @@
 from starlingdeck.controller.record_flusher import RecordFlusher
 from starlingdeck.controller.shard_loader import ShardLoader
 from starlingdeck.controller.supervision import Loop, supervise
+from starlingdeck.controller.token_raiser import TokenRaiser
 from starlingdeck.controller.worker_caller import WorkerCaller
 from starlingdeck.jobs.admission import AdmissionController, DurablePlugin
 from starlingdeck.jobs.job_shard import JobShard
@@ -219,6 +220,9 @@
             machines=self.machines,
             writers=self.writers,
             worker_caller=self.worker_caller,
+            token_raiser=TokenRaiser(
+                context=self.context, membership=self.membership, wake=self.wake
+            ),
             state_sync=self.state_sync,
             build_gossip=self.build_gossip,
             wake=self.wake,
@@ -332,6 +336,7 @@
             writer.shard.token, writer.ownership_lost = token, False
         if machines is not None:
             machines.token = token
+        await self.flush.set()  # a write that the rewritten key has refused is due again
 
     def may_hand_back(self, shard: int) -> bool:
         """Return whether a shard may be returned to its home controller, which is live again.
--- a/starlingdeck/controller/reconciler.py
+++ b/starlingdeck/controller/reconciler.py
@@ -1,6 +1,5 @@
 """The reconciliation loop, which brings owned shards from their observed to their desired state."""
 
-import logging
 from collections.abc import Callable, Mapping
 
 import curio
@@ -8,20 +7,14 @@
 
 from starlingdeck.cluster.membership import Membership
 from starlingdeck.context import ControllerContext
+from starlingdeck.controller.token_raiser import TokenRaiser
 from starlingdeck.controller.worker_caller import WorkerCaller
 from starlingdeck.jobs.record_writer import RecordWriter
 from starlingdeck.machines.machine_shard import MachineShard
 from starlingdeck.protocol import peer_pb2 as pb
-from starlingdeck.storage.state import (
-    LeaseLostError,
-    RequestBudget,
-    StateError,
-    TransactionConflictError,
-)
+from starlingdeck.storage.state import RequestBudget
 from starlingdeck.sync.state_sync import StateSync
 
-log = logging.getLogger(__name__)
-
 MAX_RECONCILE_INTERVAL_S = 0.1
 MIN_RECONCILE_INTERVAL_S = 0.04  # changes that arrive within it are handled in one round
 
@@ -35,6 +28,7 @@
     machines: Mapping[int, MachineShard]
     writers: Mapping[int, RecordWriter]
     worker_caller: WorkerCaller
+    token_raiser: TokenRaiser
     state_sync: StateSync
     build_gossip: Callable[[], pb.Gossip]
     wake: curio.Event
@@ -58,7 +52,7 @@
         for shard, machines in list(self.machines.items()):
             await self.worker_caller.send_due_commands(machines, lease_valid)
             if lease_valid and machines.needs_new_token():
-                await self._raise_token(shard)
+                await self.token_raiser.request(shard)
         if await self.state_sync.publish_snapshots(lease_valid, now):
             await self.flush.set()
         self.state_sync.drop_expired(now)
@@ -71,9 +65,3 @@
                 await curio.spawn(self.state_sync.write_relay, node, text, daemon=True)
         if any(writer.shard.dirty_jobs for writer in self.writers.values()):
             await self.flush.set()
-
-    async def _raise_token(self, shard: int) -> None:
-        try:
-            await self.membership.raise_token(shard)
-        except (StateError, TransactionConflictError, LeaseLostError) as error:
-            log.info("token not raised: shard=%d error=%r", shard, error)
--- a/starlingdeck/machines/commands.py
+++ b/starlingdeck/machines/commands.py
@@ -3,8 +3,9 @@
 import logging
 
 from starlingdeck.machines.desired_state import DesiredStateTracker
-from starlingdeck.machines.machine import Machine
+from starlingdeck.machines.machine import DesiredTask, Machine, ObservedTask
 from starlingdeck.machines.shard_state import ShardState
+from starlingdeck.machines.start_fence import StartFence
 from starlingdeck.protocol import api
 
 log = logging.getLogger(__name__)
@@ -20,58 +21,88 @@
 class CommandBuilder:
     """Builds stop, reap and start commands for the machines of a shard."""
 
-    def __init__(self, state: ShardState, desired: DesiredStateTracker) -> None:
+    def __init__(self, state: ShardState, desired: DesiredStateTracker, fence: StartFence) -> None:
         self.state = state
         self.desired = desired
+        self.fence = fence
 
     def pending(self, machine: Machine, reaps: bool) -> list[api.Command]:
         """Return the stops and reaps that the newest report calls for, but no starts."""
         if machine.reconciled:
             return []
-        find_desired, is_synced = self.desired.find, self.desired.is_synced
         commands: list[api.Command] = []
-        reconciled = True
+        reconciled = not machine.evictions
         for key, observed in machine.tasks.items():
-            desired = find_desired(machine.index, key)
-            is_desired = desired is not None and desired.attempt == observed.attempt
-            stopping = desired is not None and desired.stop
-            exited = observed.state == api.TASK_EXITED
-            reconciled = reconciled and is_desired and not exited and not stopping
-            operation, grace_s = None, None
-            if exited:
-                # Reap only an attempt that the job's record no longer has on this machine,
-                # and only when no start of it can still arrive.
-                if reaps and not is_desired and is_synced(key) and self.state.is_fenced(machine):
-                    operation = api.REAP
-            elif is_desired and desired is not None and desired.stop:
-                operation, grace_s = api.STOP, desired.grace_s
-            elif key in machine.evictions:
-                if observed.state != api.TASK_SAVING:
-                    operation, grace_s = api.STOP, machine.evictions[key]
-            elif not is_desired and is_synced(key):
-                operation, grace_s = api.STOP, 0.0
-            if operation is not None:
-                name = self.state.task_name(key)
-                commands.append(api.Command(operation, name, observed.attempt, grace_s))
-                log.debug(
-                    "%s due: task=%s attempt=%d machine=%s token=%d machine_token=%d desired=%d",
-                    operation,
-                    name,
-                    observed.attempt,
-                    machine.name,
-                    self.state.token,
-                    machine.token,
-                    desired.attempt if desired is not None else 0,
-                )
-        machine.reconciled = reconciled and not machine.evictions
+            desired = self.desired.find(machine.index, key)
+            if desired is not None and desired.attempt != observed.attempt:
+                desired = None
+            command = self._due_command(machine, key, observed, desired, reaps)
+            if command is not None:
+                commands.append(command)
+                self._log_due(machine, command, key)
+            settled = self._is_settled(machine, key, observed, desired)
+            reconciled = reconciled and command is None and settled
+        machine.reconciled = reconciled
         return commands
 
+    def _due_command(
+        self,
+        machine: Machine,
+        key: int,
+        observed: ObservedTask,
+        desired: DesiredTask | None,
+        reaps: bool,
+    ) -> api.Command | None:
+        """Return the stop or reap of a reported attempt, if one is due.
+
+        `desired` is None if the attempt is not desired there. Only an attempt that the job's record
+        no longer has on this machine is reaped, and only when no start of it can act any more.
+        """
+        name, attempt = self.state.task_name(key), observed.attempt
+        undesired = desired is None and self.desired.is_synced(key)
+        if observed.state == api.TASK_EXITED:
+            if reaps and undesired and self.fence.may_remove(machine, key, attempt):
+                return api.Command(api.REAP, name, attempt)
+            return None
+        if desired is not None and desired.stop:
+            return api.Command(api.STOP, name, attempt, desired.grace_s)
+        if key in machine.evictions:
+            if observed.state == api.TASK_SAVING:
+                return None
+            return api.Command(api.STOP, name, attempt, machine.evictions[key])
+        return api.Command(api.STOP, name, attempt, 0.0) if undesired else None
+
+    def _is_settled(
+        self, machine: Machine, key: int, observed: ObservedTask, desired: DesiredTask | None
+    ) -> bool:
+        """Return whether an attempt needs no command until something changes."""
+        if observed.state == api.TASK_EXITED:
+            waits = machine.index in self.fence.removals_wait_on
+            return waits and not self.fence.is_ruled_out(machine, key, observed.attempt)
+        return desired is not None and not desired.stop
+
+    def _log_due(self, machine: Machine, command: api.Command, key: int) -> None:
+        if not log.isEnabledFor(logging.DEBUG):
+            return
+        desired = self.desired.find(machine.index, key)
+        log.debug(
+            "%s due: task=%s attempt=%d machine=%s token=%d machine_token=%d start_token=%d "
+            "desired_attempt=%d",
+            command.op,
+            command.task,
+            command.attempt,
+            machine.name,
+            self.state.token,
+            machine.token,
+            machine.start_tokens.get(key, {}).get(command.attempt, 0),
+            desired.attempt if desired is not None else 0,
+        )
+
     def piggybacked_starts(self, machine: Machine) -> list[api.Command]:
         """Return the starts to send in the answer to a report, counting them as delivered.
 
         Used for a worker that reports but doesn't answer commands. A worker executes the answers to
-        its reports in order and drops late ones. Reaps are sent in these answers too, so a start
-        can't be executed after the reap of the same attempt.
+        its reports in order and drops late ones, so these starts can't be executed again later.
         """
         if (
             machine.unanswered_commands < MAX_UNANSWERED_COMMANDS
@@ -81,7 +112,7 @@
             return []
         commands: list[api.Command] = []
         for key, launch in machine.pending_launches.items():
-            if not self._may_start(machine, key):
+            if not self._may_start(machine, key, launch.attempt):
                 continue
             launch.deliveries += 1
             commands.append(api.Command(api.START, self.state.task_name(key), launch.attempt))
@@ -104,12 +135,13 @@
     def _direct_starts(self, machine: Machine) -> list[api.Command]:
         commands: list[api.Command] = []
         for key, launch in machine.pending_launches.items():
-            if not self._may_start(machine, key):
+            if not self._may_start(machine, key, launch.attempt):
                 continue
             name = self.state.task_name(key)
             old = machine.tasks.get(key)
-            if old is not None and old.state == api.TASK_EXITED and self.state.is_fenced(machine):
+            if old is not None and old.state == api.TASK_EXITED:
                 commands.append(api.Command(api.REAP, name, old.attempt))
+            self.fence.record_start(machine, key, launch.attempt)
             launch.deliveries += 1
             commands.append(api.Command(api.START, name, launch.attempt))
             if launch.deliveries == 1:
@@ -123,9 +155,14 @@
                 )
         return commands
 
-    def _may_start(self, machine: Machine, key: int) -> bool:
+    def _may_start(self, machine: Machine, key: int, attempt: int) -> bool:
         desired = self.desired.find(machine.index, key)
-        return desired is not None and not desired.stop and self.desired.is_confirmed(key)
+        return (
+            desired is not None
+            and not desired.stop
+            and self.desired.is_confirmed(key)
+            and self.fence.may_start(machine, key, attempt)
+        )
 
     def on_unanswered(self, machine: Machine, sent: api.Commands, maybe_sent: bool) -> None:
         """Record that commands got no answer.
--- a/starlingdeck/machines/lease_monitor.py
+++ b/starlingdeck/machines/lease_monitor.py
@@ -3,6 +3,7 @@
 import logging
 
 from starlingdeck.machines.shard_state import ShardState
+from starlingdeck.machines.start_fence import StartFence
 
 log = logging.getLogger(__name__)
 
@@ -17,8 +18,9 @@
 class LeaseMonitor:
     """Tracks the time since the machines' last messages and lease renewals."""
 
-    def __init__(self, state: ShardState) -> None:
+    def __init__(self, state: ShardState, fence: StartFence) -> None:
         self.state = state
+        self.fence = fence
         self.next_check_at = 0.0
         self.next_raise_at = 0.0
 
@@ -55,10 +57,13 @@
     def needs_new_token(self) -> bool:
         """Return whether the shard's token is to be raised.
 
-        There are two reasons for a new token. An unanswered start must be fenced by one before its
-        task can be declared gone. And a machine that answers no commands proves that it receives
-        the answers to its reports by reporting a later token.
+        There are three reasons for a new token. An unanswered start must be fenced by one before
+        its task can be declared gone. An answered start must be ruled out by one before its attempt
+        can be removed from the machine (`StartFence`). And a machine that answers no commands
+        proves that it receives the answers to its reports by reporting a later token.
         """
+        if self.fence.needs_new_token():
+            return True
         state = self.state
         now = state.context.now()
         live = [
--- a/starlingdeck/machines/machine.py
+++ b/starlingdeck/machines/machine.py
@@ -91,10 +91,14 @@
     spot: bool
     termination_at: float | None = None  # when the cloud will terminate it; None: no notice
     tasks: dict[int, ObservedTask] = field(default_factory=dict)
+    ended_tasks: int = 0  # number of the tasks that have exited
     pending_launches: dict[int, PendingLaunch] = field(default_factory=dict)
     # Stops for tasks of the incarnation that `new_incarnation_session` names.
     orphan_stops: list[api.Command] = field(default_factory=list)
     reservations: dict[int, Reservation] = field(default_factory=dict)
+    # Task key -> attempt -> highest token under which a start was sent directly in this session,
+    # while the machine has not shown a later token: it may execute a copy of that start.
+    start_tokens: dict[int, dict[int, int]] = field(default_factory=dict)
     refused_attempts: set[tuple[int, int]] = field(default_factory=set)  # task key and attempt
     evictions: dict[int, float] = field(default_factory=dict)  # task key -> seconds to save
     descheduled: set[int] = field(default_factory=set)
--- a/starlingdeck/machines/machine_shard.py
+++ b/starlingdeck/machines/machine_shard.py
@@ -18,6 +18,7 @@
 from starlingdeck.machines.reservations import ReservationManager
 from starlingdeck.machines.shard_state import ShardState
 from starlingdeck.machines.snapshot_publisher import SnapshotPublisher
+from starlingdeck.machines.start_fence import StartFence
 from starlingdeck.protocol import api
 from starlingdeck.protocol import peer_pb2 as pb
 
@@ -40,13 +41,14 @@
         self.state = ShardState(context, shard, token, epoch, wait_s)
         self.faults = FaultDetector(self.state)
         self.desired = DesiredStateTracker(self.state, self.faults)
-        self.reports = ReportIntake(self.state, self.faults)
-        self.reservations = ReservationManager(self.state, self.desired)
-        self.commands = CommandBuilder(self.state, self.desired)
+        self.fence = StartFence(self.state)
+        self.reports = ReportIntake(self.state, self.faults, self.fence)
+        self.reservations = ReservationManager(self.state, self.desired, self.fence)
+        self.commands = CommandBuilder(self.state, self.desired, self.fence)
         self.reconciler = Reconciler(self.state, self.desired, self.faults)
         self.descheduler = Descheduler(self.state)
-        self.leases = LeaseMonitor(self.state)
-        self.publisher = SnapshotPublisher(self.state, self.desired)
+        self.leases = LeaseMonitor(self.state, self.fence)
+        self.publisher = SnapshotPublisher(self.state, self.desired, self.fence)
         self.machines = self.state.machines
         self.unconfirmed_reports = 0  # reports refused because a job shard's watermark was too old
 
@@ -58,6 +60,7 @@
     @token.setter
     def token(self, token: int) -> None:
         self.state.token = token
+        self.fence.on_token_raised()
 
     @property
     def changed(self) -> bool:
--- a/starlingdeck/machines/report_intake.py
+++ b/starlingdeck/machines/report_intake.py
@@ -7,6 +7,7 @@
 from starlingdeck.machines.machine import Machine, ObservedTask
 from starlingdeck.machines.reachability import HeartbeatOrder
 from starlingdeck.machines.shard_state import ShardState
+from starlingdeck.machines.start_fence import StartFence
 from starlingdeck.protocol import api
 
 log = logging.getLogger(__name__)
@@ -18,9 +19,10 @@
     Most reports repeat the previous one, so that case is handled with as little work as possible.
     """
 
-    def __init__(self, state: ShardState, faults: FaultDetector) -> None:
+    def __init__(self, state: ShardState, faults: FaultDetector, fence: StartFence) -> None:
         self.state = state
         self.faults = faults
+        self.fence = fence
         self.stale_reports = 0
 
     def is_stale(self, report: api.Report) -> bool:
@@ -146,6 +148,7 @@
         machine.last_message_at = now
         machine.lost = False
         had_our_token = machine.token >= state.base_token
+        token_rose = report.token > machine.token
         machine.token = report.token
         if machine.unconfirmed_token and machine.token > machine.unconfirmed_token:
             machine.unconfirmed_token = 0
@@ -155,6 +158,8 @@
         elif machine.termination_at is None:
             self._record_termination_notice(machine, report.notice_s, now)
         changed = self._apply_tasks(machine, report, now)
+        if changed or token_rose:
+            self.fence.on_message(machine)
         changed |= before != (machine.lost, machine.session, machine.termination_at is None)
         changed |= had_our_token != (machine.token >= state.base_token)
         if changed:
@@ -166,6 +171,7 @@
         machine.refused_attempts.clear()
         machine.evictions.clear()
         machine.unconfirmed_token = 0
+        machine.start_tokens.clear()
         # The lease counts from the beginning of the session, whose first message may be the answer
         # to a command. When it counted from the last report, a machine whose reports don't arrive
         # was taken for lost at once, and the tasks just started there ran twice.
@@ -197,6 +203,7 @@
             machine.empty_since = now
         changed |= len(reported) != len(machine.tasks)
         machine.tasks = reported
+        machine.ended_tasks = sum(o.state == api.TASK_EXITED for o in reported.values())
         for key in [k for k in machine.evictions if k not in reported]:
             del machine.evictions[key]
         return changed
--- a/starlingdeck/machines/reservations.py
+++ b/starlingdeck/machines/reservations.py
@@ -6,6 +6,8 @@
 from starlingdeck.machines.machine import JobInfo, Machine, Reservation
 from starlingdeck.machines.preemption import Preemptor
 from starlingdeck.machines.shard_state import ShardState
+from starlingdeck.machines.start_fence import StartFence
+from starlingdeck.protocol import api
 from starlingdeck.protocol import peer_pb2 as pb
 
 EVICTION_RESERVATION_S = 2.5  # how long capacity that is being freed stays reserved
@@ -15,9 +17,10 @@
 class ReservationManager:
     """Answers the job shards' requests for capacity."""
 
-    def __init__(self, state: ShardState, desired: DesiredStateTracker) -> None:
+    def __init__(self, state: ShardState, desired: DesiredStateTracker, fence: StartFence) -> None:
         self.state = state
         self.desired = desired
+        self.fence = fence
         self.preemptor = Preemptor(state, desired)
 
     def reserve(self, message: pb.ReserveRequest) -> pb.ReserveReply:
@@ -36,7 +39,7 @@
             if machine is None or not state.is_schedulable(machine):
                 continue
             key = task_key(job, target.task)
-            if key in machine.tasks or key in machine.pending_launches:
+            if not self._may_hold(machine, key):
                 continue
             if machine.reservations.pop(key, None) is not None:
                 available.pop(machine.index, None)
@@ -47,6 +50,8 @@
                 continue
             if fits(info.size, free):
                 machine.reservations[key] = Reservation(target.attempt, expires_at)
+                # Have the token raised while the placement is written, if the start will need it.
+                self.fence.may_start(machine, key, target.attempt)
                 available[machine.index] = [f - s for f, s in zip(free, info.size, strict=True)]
                 reply.granted.add(task=target.task, attempt=target.attempt, session=machine.session)
             elif self._will_have_capacity(machine, info, free, message):
@@ -61,6 +66,18 @@
             state.mark_changed(machine.index)
         return reply
 
+    def _may_hold(self, machine: Machine, key: int) -> bool:
+        """Return whether a machine may get a task: it has none of its attempts, or one that ended.
+
+        The end must be recorded: until then the ended attempt is still desired.
+        """
+        if key in machine.pending_launches:
+            return False
+        observed = machine.tasks.get(key)
+        return observed is None or (
+            observed.state == api.TASK_EXITED and self.desired.find(machine.index, key) is None
+        )
+
     def _will_have_capacity(
         self, machine: Machine, info: JobInfo, free: list[float], message: pb.ReserveRequest
     ) -> bool:
--- a/starlingdeck/machines/shard_state.py
+++ b/starlingdeck/machines/shard_state.py
@@ -9,6 +9,8 @@
 HEARTBEAT_TIMEOUT_LEASE_SHARE = 2 / 3  # share of the duration of a lease
 HEARTBEAT_FRESH_INTERVALS = 2.5  # how long a message counts as fresh, in report intervals
 HEARTBEAT_FRESH_MARGIN_S = 0.5
+# A machine that reports as many ended attempts is not schedulable until some have been removed.
+MAX_ENDED_ATTEMPTS = 256
 DELETED_RETENTION_S = 600.0  # how long late reports of a deleted machine are recognised
 
 
@@ -103,6 +105,7 @@
             and machine.faulty_since is None
             and machine.unconfirmed_since is None
             and machine.token >= self.base_token
+            and machine.ended_tasks < MAX_ENDED_ATTEMPTS
             and self.context.now() - machine.last_message_at < self.heartbeat_fresh_s
             # Commands may reach a machine whose reports don't arrive, but they renew no lease.
             and self.context.now() - machine.last_heartbeat_at < self.heartbeat_timeout_s
--- a/starlingdeck/machines/snapshot_publisher.py
+++ b/starlingdeck/machines/snapshot_publisher.py
@@ -7,6 +7,7 @@
 from starlingdeck.machines.lease_monitor import FAULTY_DRAIN_DELAY_S
 from starlingdeck.machines.machine import JobInfo, Machine
 from starlingdeck.machines.shard_state import ShardState
+from starlingdeck.machines.start_fence import StartFence
 from starlingdeck.protocol import api
 from starlingdeck.protocol import peer_pb2 as pb
 
@@ -16,9 +17,10 @@
 class SnapshotPublisher:
     """Builds the snapshot messages for the followers of a shard; `seq` numbers the updates."""
 
-    def __init__(self, state: ShardState, desired: DesiredStateTracker) -> None:
+    def __init__(self, state: ShardState, desired: DesiredStateTracker, fence: StartFence) -> None:
         self.state = state
         self.desired = desired
+        self.fence = fence
         self.seq = 0
 
     def update(self, valid: bool) -> pb.Snapshot:
@@ -134,12 +136,13 @@
                 saved=observed.saved,
                 descheduled=key in machine.descheduled,
             )
-        for key, launch in machine.pending_launches.items():
+        pending = [(key, launch.attempt) for key, launch in machine.pending_launches.items()]
+        for key, attempt in pending + self.fence.unreported(machine):
             job, number = split_key(key)
             entry.tasks.add(
                 job=context.job_names[job],
                 task=number,
-                attempt=launch.attempt,
+                attempt=attempt,
                 state=api.TASK_PENDING,
             )
 
--- a/starlingdeck/scheduling/constraints.py
+++ b/starlingdeck/scheduling/constraints.py
@@ -67,7 +67,10 @@
 
 
 def task_filter(job: Job, task: int, zone_allowed: ZoneFilter) -> CandidateFilter:
-    """Return a filter for one task's machines: allowed zones, not those it failed on or runs on."""
+    """Return a filter for one task's machines: allowed zones, not those it failed on or runs on.
+
+    A machine that still reports an ended attempt of the task is left out as well.
+    """
     avoided, key = job.avoided_machines.get(task, ()), (job.index, task)
     return lambda candidate: (
         zone_allowed(candidate.zone)
@@ -76,6 +79,19 @@
     )
 
 
+def former_machine_filter(job: Job, task: int, zone_allowed: ZoneFilter) -> CandidateFilter:
+    """Return a filter for machines that still report an ended attempt of the task.
+
+    A start there waits until the ended attempt can be removed.
+    """
+    avoided, key = job.avoided_machines.get(task, ()), (job.index, task)
+    return lambda candidate: (
+        zone_allowed(candidate.zone)
+        and candidate.index not in avoided
+        and key in candidate.ended_tasks
+    )
+
+
 class EligibleCandidates:
     """The schedulable machines of one scheduling cycle, grouped by job constraints.
 
--- a/starlingdeck/scheduling/scheduler.py
+++ b/starlingdeck/scheduling/scheduler.py
@@ -16,6 +16,7 @@
     ZoneFilter,
     constraint_key,
     count_by_zone,
+    former_machine_filter,
     task_filter,
     zone_filter,
 )
@@ -192,6 +193,8 @@
         job.accumulating.discard(task)
         usable = task_filter(job, task, zone_allowed)
         candidate = self.sample.best(usable)
+        if candidate is None and job.attempts[task]:
+            candidate = self.sample.best(former_machine_filter(job, task, zone_allowed))
         if candidate is None:
             # The only machines left may be those that the task failed on: allow them again.
             job.avoided_machines.pop(task, None)
--- a/tests/support/failure_scenarios.py
+++ b/tests/support/failure_scenarios.py
@@ -180,6 +180,15 @@
         (0.0, "state service slow", 0), (0.0, "late commands", 0), (4.0, "cancel", 1),
         (30.0, "state service slow", 0), (30.0, "late commands", 0),
     ],
+    "answered commands are repeated while tasks fail": [
+        (0.0, "repeated commands", 0), (0.0, "tasks fail", 0), (20.0, "cancel", 1),
+        (40.0, "tasks fail", 0),
+    ],
+    "answered commands are repeated, controllers are back at once": [
+        (0.0, "repeated commands", 0), (0.0, "tasks fail", 0), (4.0, "crash", 0),
+        (6.0, "cancel", 1), (9.0, "crash", 1), (13.0, "crash", 2), (15.0, "cancel", 2),
+        (20.0, "all crash", 0), (40.0, "tasks fail", 0),
+    ],
     "tasks end while their moves are answered late": [
         (0.0, "peers slow", 0),
         *((3.0 * i + 0.8, "termination notice", i % 3) for i in range(6)),
--- a/tests/support/failures.py
+++ b/tests/support/failures.py
@@ -241,5 +241,5 @@
     "jobs unreadable", "report replays", "heartbeats lost", "hang", "zone partition",
     "restart machines", "add machine", "all crash longer than a lease", "query bursts",
     "invalid requests", "jobs cancelled at end", "cancel", "cancel and hang",
-    "termination notice", "peers slow",
+    "termination notice", "peers slow", "repeated commands", "tasks fail",
 )  # fmt: skip
--- a/tests/test_resource_bounds.py
+++ b/tests/test_resource_bounds.py
@@ -112,6 +112,12 @@
         await self.run_rounds(40)
         assert (await self.ask("GET", f"{api.JOBS}/{GOOD}"))[1]["status"] == api.DONE
 
+    async def check_started(self) -> None:
+        """The valid job is done, or its only task is on a machine, maybe still fetching."""
+        live = [t for w in self.workers.values() if (t := w.tasks.get(f"{GOOD}/0")) is not None]
+        status = (await self.ask("GET", f"{api.JOBS}/{GOOD}"))[1]["status"]
+        assert status == api.DONE or any(task.state != "exited" for task in live)
+
     async def run_rounds(self, times: int) -> None:
         """Run every loop of the controller and the work of the machines, `times` times."""
         node = self.node
@@ -183,7 +189,7 @@
         await cluster.start()
         await cluster.run_rounds(12)
         assert not cluster.node.context.quarantine.entries
-        assert (await cluster.ask("GET", f"{api.JOBS}/{GOOD}"))[1]["status"] != api.QUEUED
+        await cluster.check_started()
         for n, status in enumerate(statuses):
             code, job_status = await cluster.ask("GET", f"{api.JOBS}/j-{n + 100}")
             assert code == (200 if status == 201 else 404)
