--- a/starlingdeck/machines/machine.py
+++ b/starlingdeck/machines/machine.py
@@ -99,6 +99,8 @@
     # Task key -> attempt -> highest token under which a start was sent directly in this session,
     # while the machine has not shown a later token: it may execute a copy of that start.
     start_tokens: dict[int, dict[int, int]] = field(default_factory=dict)
+    # It gets no commands under this token or a lower one, because it may have restarted.
+    commands_held_at_token: int = 0
     refused_attempts: set[tuple[int, int]] = field(default_factory=set)  # task key and attempt
     evictions: dict[int, float] = field(default_factory=dict)  # task key -> seconds to save
     descheduled: set[int] = field(default_factory=set)
--- a/starlingdeck/machines/machine_shard.py
+++ b/starlingdeck/machines/machine_shard.py
@@ -45,7 +45,7 @@
         self.reports = ReportIntake(self.state, self.faults, self.fence)
         self.reservations = ReservationManager(self.state, self.desired, self.fence)
         self.commands = CommandBuilder(self.state, self.desired, self.fence)
-        self.reconciler = Reconciler(self.state, self.desired, self.faults)
+        self.reconciler = Reconciler(self.state, self.desired, self.faults, self.fence)
         self.descheduler = Descheduler(self.state)
         self.leases = LeaseMonitor(self.state, self.fence)
         self.publisher = SnapshotPublisher(self.state, self.desired, self.fence)
--- a/starlingdeck/machines/reconciler.py
+++ b/starlingdeck/machines/reconciler.py
@@ -5,6 +5,7 @@
 from starlingdeck.machines.fault_detection import FaultDetector
 from starlingdeck.machines.machine import DesiredTask, Machine, ObservedTask, PendingLaunch
 from starlingdeck.machines.shard_state import ShardState
+from starlingdeck.machines.start_fence import StartFence
 from starlingdeck.protocol import api
 
 PIGGYBACK_TIMEOUT_S = 5.0  # a worker waits 4 s for the answer to its report
@@ -23,11 +24,16 @@
     """
 
     def __init__(
-        self, state: ShardState, desired: DesiredStateTracker, faults: FaultDetector
+        self,
+        state: ShardState,
+        desired: DesiredStateTracker,
+        faults: FaultDetector,
+        fence: StartFence,
     ) -> None:
         self.state = state
         self.desired = desired
         self.faults = faults
+        self.fence = fence
         self.to_recheck: set[int] = set()  # machines with something pending at the last run
         self.next_full_run_at = 0.0
         self.next_prune_at = state.context.now() + PRUNE_INTERVAL_S
@@ -86,14 +92,16 @@
         stops = not machine.lost and (self._compare(machine, now) | _has_evictions(machine))
         # A lost machine may have restarted and count its sessions from 1 again. Only the answer to
         # a command shows that.
-        probe = machine.probe_needed and machine.probed_at <= now
+        held = self.fence.holds_commands(machine)
+        probe = machine.probe_needed and machine.probed_at <= now and not held
         if probe:
             machine.probed_at = now + PROBE_INTERVAL_S
         unconfirmed = machine.unconfirmed_since is not None and not machine.lost
         send = stops or bool(machine.pending_launches) or unconfirmed or probe
         if send or machine.probe_needed or machine.reservations:
             self.to_recheck.add(machine.index)
-        return send and not machine.command_in_flight and machine.retry_at <= now
+        may_send = not (held or machine.command_in_flight)
+        return send and may_send and machine.retry_at <= now
 
     def _compare(self, machine: Machine, now: float) -> bool:
         """Compare the desired with the reported tasks; return whether any is to be stopped."""
--- a/starlingdeck/machines/report_intake.py
+++ b/starlingdeck/machines/report_intake.py
@@ -44,6 +44,8 @@
         self.stale_reports += 1
         if machine is not None:
             machine.probe_needed = True
+            if not report.token:
+                self.fence.on_possible_restart(machine)
             state.schedule_reconcile(index)
         return True
 
--- a/starlingdeck/machines/start_fence.py
+++ b/starlingdeck/machines/start_fence.py
@@ -14,6 +14,8 @@
 REMOVAL_INTERVAL_LEASES = 1.0
 CROWDED_REMOVAL_INTERVAL_LEASES = 0.5
 CROWDED_ENDED_ATTEMPTS = 64  # ended attempts of a machine from which on the shorter interval holds
+# Interval between tokens that are raised only because machines may have restarted.
+RESTART_INTERVAL_S = 1.0
 
 
 class StartFence:
@@ -28,6 +30,7 @@
         self.raised_at = state.context.now()
         self.start_waits = False  # a start is held back until the token has risen
         self.removals_wait_on: set[int] = set()  # machines that keep ended attempts until then
+        self.restart_suspected = False  # a machine gets no commands until the token has risen
         self.crowded = False  # some machine keeps many ended attempts
         self.raises = 0  # of the token, for any of these reasons
 
@@ -91,22 +94,37 @@
             if not _has_attempt(machine, key, attempt)
         ]
 
+    def on_possible_restart(self, machine: Machine) -> None:
+        """Hold back the commands to a machine that may have restarted, until the token has risen.
+
+        A restarted machine has seen no token. If the first one that it sees is that of starts sent
+        before, it executes copies of them.
+        """
+        attempts = machine.start_tokens.values()
+        if any(t >= self.state.token for tokens in attempts for t in tokens.values()):
+            machine.commands_held_at_token = self.state.token
+            self.restart_suspected = True
+
+    def holds_commands(self, machine: Machine) -> bool:
+        """Return whether a machine gets no commands under the present token."""
+        return machine.commands_held_at_token >= self.state.token
+
     def needs_new_token(self) -> bool:
         """Return whether the shard's token is to be raised to rule out starts."""
         since_s = self.state.context.now() - self.raised_at
-        if self.start_waits:
+        if self.start_waits or (self.restart_suspected and since_s >= RESTART_INTERVAL_S):
             return True
         leases = CROWDED_REMOVAL_INTERVAL_LEASES if self.crowded else REMOVAL_INTERVAL_LEASES
         return bool(self.removals_wait_on) and since_s >= leases * self.state.lease_s
 
     def on_token_raised(self) -> None:
         """Record that the token has risen, whatever for: all starts before are ruled out."""
-        self.raises += self.start_waits or bool(self.removals_wait_on)
+        self.raises += self.start_waits or self.restart_suspected or bool(self.removals_wait_on)
         self.raised_at = self.state.context.now()
         for index in self.removals_wait_on & self.state.machines.keys():
             self.state.machines[index].reconciled = False
         self.removals_wait_on.clear()
-        self.start_waits = self.crowded = False
+        self.start_waits = self.restart_suspected = self.crowded = False
 
 
 def _has_attempt(machine: Machine, key: int, attempt: int) -> bool:
--- a/tests/support/failure_scenarios.py
+++ b/tests/support/failure_scenarios.py
@@ -189,6 +189,11 @@
         (6.0, "cancel", 1), (9.0, "crash", 1), (13.0, "crash", 2), (15.0, "cancel", 2),
         (20.0, "all crash", 0), (40.0, "tasks fail", 0),
     ],
+    "answered commands are repeated, machines are back at once": [
+        (0.0, "repeated commands", 0), (0.0, "tasks fail", 0), (5.0, "restart machines", 0),
+        (9.0, "restart machines", 1), (13.0, "restart machines", 2), (16.0, "cancel", 1),
+        (20.0, "restart machines", 0), (24.0, "restart machines", 1), (40.0, "tasks fail", 0),
+    ],
     "tasks end while their moves are answered late": [
         (0.0, "peers slow", 0),
         *((3.0 * i + 0.8, "termination notice", i % 3) for i in range(6)),
--- a/tests/test_repeated_commands.py
+++ b/tests/test_repeated_commands.py
@@ -160,6 +160,25 @@
     run_simulation(monkeypatch, cluster, drive())
 
 
+def test_a_start_repeated_after_the_machine_is_back_at_once_does_not_run(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """From the first token that the restarted machine sees, copies of older starts are refused."""
+    cluster = SimulatedCluster(5)
+    recorder = CommandRecorder(cluster)
+
+    async def drive() -> None:
+        first = await run_failing_task(cluster)
+        for tick in range(300):
+            if tick % 50 == 0:
+                first.restart(cluster.clock.at)
+            recorder.repeat_starts(first.name)
+            await cluster.run(0.1)
+        assert first.token
+
+    run_simulation(monkeypatch, cluster, drive())
+
+
 class OneMachine(ReferenceModel):
     """A worker, and the shard that it belongs to; every answered call may arrive once more."""
 
