Soak: answered commands are repeated, and machines whose tasks fail are among the workers

A share of 0.3 of the answered direct commands arrives at its worker once or twice more, 2 to 30 s later and in other order, and a quarter of the machines fail a third of their tasks. Lines 'attempt started late' in the controllers' logs fail a run like violations of answers.

--- a/standins/simulated_workers.py
+++ b/standins/simulated_workers.py
@@ -40,6 +40,10 @@
 LEASE_CHECK_INTERVAL_S = 0.25  # interval between checks of all leases
 MAX_REDIRECT_DELAY_S = 0.5  # maximum of the random delay between a redirect and the next heartbeat
 MACHINES_PER_SUBNET = 250  # number of machines with addresses 127.NETWORK.SUBNET.x
+MIN_REPEAT_DELAY_S = 2.0  # from the answer to commands to their second arrival
+MAX_REPEATS = 2  # of one call
+TASK_FAILURE_SHARE = 1 / 3  # share of the tasks of a failing machine that end with an error
+TASK_FAILURE_DELAY_S = 0.3  # from the start of a failing task to its end
 LATE_TICK_THRESHOLD_S = 0.1  # a tick delayed by more shows that the process is overloaded
 
 
@@ -57,6 +61,11 @@
     seed: int
     broken: bool = False  # reports each start on two machines, to test the checker
     advertised_port: int = 0  # the port that controllers are told; 0: `port`
+    # Share of the answered direct commands that arrive once more, and how much later at the most.
+    repeated_command_share: float = 0.0
+    max_repeat_delay_s: float = 30.0
+    # Share of the machines on which every third task fails.
+    failing_machine_share: float = 0.0
 
 
 class StartRequest(msgspec.Struct):
@@ -82,6 +91,7 @@
     commands: int = 0
     command_bytes: int = 0
     started: int = 0
+    repeated: int = 0  # answered commands that have arrived once more
     ticks: int = 0
     late_ticks: int = 0
 
@@ -102,6 +112,7 @@
         self.powered_off = self.heartbeat_in_flight = self.change_pending = False
         self.next_report_at = 0.0
         self.last_report_at = 0.0
+        self.fails_tasks = host.draw_fault(host.config.failing_machine_share)
 
     def fits(self, _task: str, live: int) -> bool:
         """Return whether one more task fits beside `live` unfinished ones."""
@@ -116,12 +127,35 @@
             return json_response(self.agent.build_report())
         stats.commands += 1
         stats.command_bytes += len(request.body)
-        actions = self.agent.handle_commands(msgspec.json.decode(request.body, type=api.Commands))
+        commands = msgspec.json.decode(request.body, type=api.Commands)
+        actions = self.agent.handle_commands(commands)
         if actions is None:
             return json_response(self.agent.build_report(), 409)
         self.apply_actions(actions)
+        self.schedule_repeats(commands)
         return json_response(self.agent.build_report())
 
+    def schedule_repeats(self, commands: api.Commands) -> None:
+        """Have some of the commands that are answered now arrive once more, in any order."""
+        if self.host.draw_fault(self.host.config.repeated_command_share):
+            for _ in range(self.host.fault_rng.randint(1, MAX_REPEATS)):
+                longest_s = self.host.config.max_repeat_delay_s
+                delay_s = self.host.fault_rng.uniform(MIN_REPEAT_DELAY_S, longest_s)
+                self.host.schedule(time.monotonic() + delay_s, partial(self.repeat, commands))
+
+    def repeat(self, commands: api.Commands) -> None:
+        """Handle commands that were answered before; nobody waits for this answer.
+
+        A machine that has restarted and has seen no token yet would obey any commands, which no
+        controller can prevent.
+        """
+        if self.powered_off or not self.agent.token:
+            return
+        self.host.stats.repeated += 1
+        actions = self.agent.handle_commands(commands)
+        if actions is not None:
+            self.apply_actions(actions)
+
     def apply_actions(self, actions: Actions) -> None:
         """Record the stopped tasks and start to fetch the images of the new ones."""
         for task in actions.to_stop:
@@ -148,6 +182,8 @@
         attempt, now = task.attempt, time.monotonic()
         if name in self.host.completed:
             self.task_completed(name, attempt)
+        elif self.fails_tasks and self.host.draw_fault(TASK_FAILURE_SHARE):
+            self.host.schedule(now + TASK_FAILURE_DELAY_S, partial(self.task_failed, name, attempt))
         elif not workload.parse_job_id(name.split("/", maxsplit=1)[0]).service:
             self.host.schedule(
                 now + workload.task_run_s(name), lambda: self.task_completed(name, attempt)
@@ -156,14 +192,31 @@
 
     def task_completed(self, name: str, attempt: int) -> None:
         """Complete a task, unless this attempt has ended or the machine was powered off."""
-        task = self.agent.tasks.get(name)
-        if self.powered_off or task is None or task.attempt != attempt or task.state != RUNNING:
+        if not self.is_running(name, attempt):
             return
         self.agent.task_ended(name, "done")
         self.host.completed.add(name)
         self.host.record_event(EventKind.COMPLETED, name, self)
         self.report_soon(time.monotonic())
 
+    def task_failed(self, name: str, attempt: int) -> None:
+        """End a task with an error, unless this attempt has ended or the machine is off."""
+        if not self.is_running(name, attempt):
+            return
+        self.agent.task_ended(name, "error")
+        self.host.record_event(EventKind.STOPPED, name, self)
+        self.report_soon(time.monotonic())
+
+    def is_running(self, name: str, attempt: int) -> bool:
+        """Return whether this attempt of a task runs here."""
+        task = self.agent.tasks.get(name)
+        return (
+            not self.powered_off
+            and task is not None
+            and task.attempt == attempt
+            and task.state == RUNNING
+        )
+
     def report_soon(self, now: float) -> None:
         """Schedule a heartbeat after a change, as soon as the protocol allows."""
         self.change_pending = True
@@ -255,6 +308,7 @@
     def __init__(self, config: HostConfig) -> None:
         self.config = config
         self.rng = random.Random(config.seed)
+        self.fault_rng = random.Random(config.seed + 1)
         self.machines: dict[str, SimulatedWorker] = {}
         self.completed: set[str] = set()  # names of tasks; their results outlive machines
         self.stats = HostStats()
@@ -263,6 +317,10 @@
         self.pending_coroutines: list[Callable[[], Awaitable[None]]] = []
         self.event_lines: list[str] = []
 
+    def draw_fault(self, share: float) -> bool:
+        """Return whether one of the faults of this share happens now."""
+        return bool(share) and self.fault_rng.random() < share
+
     # --- timers
 
     def schedule(self, due: float, callback: Callable[[], None]) -> None:
--- a/standins/soak/broken_controller.py
+++ b/standins/soak/broken_controller.py
@@ -9,6 +9,7 @@
 from starlingdeck.api.stored_status import Acknowledgement, StoredStatusReader
 from starlingdeck.cli import start
 from starlingdeck.cluster.state_lease import StateLease
+from starlingdeck.machines.start_fence import StartFence
 
 
 def _remove_acknowledgement() -> None:
@@ -24,10 +25,15 @@
     StateLease.is_valid = lambda self: self.lease_id > 0  # type: ignore[method-assign]
 
 
+def _remove_start_fence() -> None:
+    StartFence.is_ruled_out = lambda *_: True  # type: ignore[method-assign]
+
+
 # Name of a safeguard -> takes it out.
 SAFEGUARDS: dict[str, Callable[[], None]] = {
     "acknowledgement": _remove_acknowledgement,  # the owner knows of a cancellation by others
     "lease": _remove_lease_check,  # nobody answers from memory without a certainly valid lease
+    "start fence": _remove_start_fence,  # no attempt is reaped while a start of it is accepted
 }
 
 
--- a/standins/soak/logs.py
+++ b/standins/soak/logs.py
@@ -2,7 +2,7 @@
 
 from pathlib import Path
 
-VIOLATION_MARK = "answer violation"
+VIOLATION_MARKS = ("answer violation", "attempt started late")
 ACQUISITION_MARK = "shard acquired"
 
 
@@ -28,6 +28,6 @@
                 self._look_at(line)
 
     def _look_at(self, line: str) -> None:
-        if VIOLATION_MARK in line:
+        if any(mark in line for mark in VIOLATION_MARKS):
             self.violations.append(line)
         self.acquisitions += ACQUISITION_MARK in line
--- a/standins/soak/site.py
+++ b/standins/soak/site.py
@@ -22,6 +22,8 @@
 WORKER_PORT_OFFSET, COMMAND_PROXY_OFFSET = 600, 601
 STATE_OFFSET = 20  # the state service, then one port for each controller
 COMMAND_LINK = "commands"
+REPEATED_COMMAND_SHARE = 0.3  # of the answered commands
+FAILING_MACHINE_SHARE = 0.25  # of the machines
 
 
 def state_link(controller: int) -> str:
@@ -109,6 +111,8 @@
             super().host_config(number),
             controllers={f"n-{i}": self._worker_proxy(i) for i in range(self.rung.controllers)},
             advertised_port=self.plan.port + COMMAND_PROXY_OFFSET,
+            repeated_command_share=REPEATED_COMMAND_SHARE,
+            failing_machine_share=FAILING_MACHINE_SHARE,
         )
 
     # --- processes
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -162,3 +162,11 @@
     assert "went_back" in result.stdout
     assert "command: scripts/soak.py --seed 2" in result.stdout
     assert (tmp_path / "logs" / "n-0.log").exists()
+
+
+def test_a_controller_that_reaps_while_a_start_is_accepted_is_caught(tmp_path: Path) -> None:
+    """An answered start that arrives once more starts an attempt that has ended."""
+    options = ["--seed", "1", "--seconds", "60", "--port", str(free_soak_port(3))]
+    result = run_script(*options, "--without", "start fence", "--keep", str(tmp_path / "logs"))
+    assert result.returncode == 1, result.stdout + result.stderr
+    assert "attempt started late" in result.stdout or "ran_twice" in result.stdout
