--- a/starlingdeck/controller/metrics_report.py
+++ b/starlingdeck/controller/metrics_report.py
@@ -74,7 +74,7 @@
 
 
 def reachability_lines(shards: Mapping[int, MachineShard]) -> Iterator[str]:
-    """Yield a line for each machine shard, with its unreachable machines and rejected reports.
+    """Yield a line for each machine shard: unreachable machines, rejected reports, raised tokens.
 
     Unreachable machines send reports but seem to receive nothing from this controller.
     """
@@ -85,7 +85,8 @@
             f"unreachable={len(unreachable_s)} "
             f"longest_unreachable_s={max(unreachable_s, default=0.0):.0f} "
             f"stale_reports={machines.stale_reports} "
-            f"unconfirmed_reports={machines.unconfirmed_reports}"
+            f"unconfirmed_reports={machines.unconfirmed_reports} "
+            f"tokens_raised_for_starts={machines.fence.raises}"
         )
 
 
--- a/tests/support/ports.py
+++ b/tests/support/ports.py
@@ -7,7 +7,7 @@
 from standins.soak.site import SoakSite
 
 FIRST_SOAK_PORT, LAST_SOAK_PORT = 10_000, 30_000  # below the ports that the system hands out
-SOAK_SLOTS = 3
+SOAK_SLOTS = 4
 
 
 def free_port() -> int:
