--- a/tests/support/failures.py
+++ b/tests/support/failures.py
@@ -2,7 +2,8 @@
 
 from collections.abc import Callable
 
-from tests.support.simulated_cluster import SimulatedCluster, SimulatedWorker
+from tests.support.simulated_cluster import SimulatedCluster
+from tests.support.simulated_worker import SimulatedWorker
 
 
 def machines_of(cluster: SimulatedCluster, number: int) -> list[SimulatedWorker]:
--- a/tests/support/simulated_cluster.py
+++ b/tests/support/simulated_cluster.py
@@ -8,7 +8,7 @@
 
 import random
 from collections.abc import Awaitable, Callable, Coroutine
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from functools import partial
 from typing import Any
 
@@ -22,8 +22,7 @@
 from starlingdeck.protocol import api
 from starlingdeck.protocol import peer_pb2 as pb
 from starlingdeck.storage import records
-from starlingdeck.storage.limiter import TokenBucket
-from starlingdeck.storage.state import OutcomeUnknownError, StateError, TransactionConflictError
+from starlingdeck.storage.state import StateError
 from starlingdeck.transport.client import ConnectionFailedError, NoResponseError, Reply
 from starlingdeck.transport.server import Request, Response
 from tests.support.builders import Clock, job_body, make_context
@@ -33,7 +32,9 @@
     InvariantViolationError,
     serialized_copy,
 )
-from tests.test_membership import LeasedClient, LeasedState
+from tests.support.simulated_state import SimulatedStateClient
+from tests.support.simulated_worker import SimulatedWorker
+from tests.test_membership import LeasedState
 
 TICK_S = 0.1
 REPORT_INTERVAL_S = 1.0
@@ -42,145 +43,13 @@
 REQUEST_TIMEOUT_S = 2.0  # how long a user waits for an answer
 CANCEL_S = 40.0  # as cancel_s in tests.support.builders; a worker's lease there is 10 s
 MAX_UNANSWERED_S = 75.0  # of the queries about an accepted job, after all failures ended
-TRANSACTION_TIMEOUT_S = 2.0  # how long a controller waits for the answer to a transaction
 MAX_WAIT_BESIDE_CAPACITY_S = 90.0  # of a task while capacity that fits it is free
 ON_MACHINE_STATES = ("running", "flushing")  # the rules count a task in these states
-FAILING_TASK_RUN_S = 0.5  # how long a task runs that ends with an error
 REPEAT_DELAY_S = (2.0, 60.0)  # how much later a call that was answered arrives once more
 MAX_REPEATS = 3  # of one call
 real_sleep = curio.sleep
 
 
-def change_as_sent(change: api.Change) -> api.Change:
-    """Return a change as it is now: its sender may change its value while it waits."""
-    value = msgspec.Raw(msgspec.json.encode(change.value))
-    return api.Change(change.put, value, change.lease, change.delete)
-
-
-class SimulatedStateClient(LeasedClient):
-    """One controller's client of the state service, with injected failures.
-
-    `budget` limits the rate of changes, if set. The share `late_share` of the transactions is
-    executed late and gets no answer; the share `lost_answer_share` is executed at once, and only
-    its answer is lost. Answers take up to `max_latency_s`. Reads under `unreadable_prefixes` fail,
-    as they do when answers come too slowly.
-    """
-
-    def __init__(self, state: LeasedState, cluster: "SimulatedCluster") -> None:
-        super().__init__(state)
-        self.cluster = cluster
-        self.budget: TokenBucket | None = None
-        self.late_share = self.lost_answer_share = self.max_latency_s = 0.0
-        self.unreadable_prefixes: set[str] = set()
-
-    async def _delay_answer(self) -> None:
-        if self.max_latency_s:
-            await curio.sleep(self.cluster.rng.uniform(0.0, self.max_latency_s))
-
-    def available_writes(self, urgent: bool) -> tuple[int, float]:
-        """Return how many changes may be written now, and the seconds to wait for more."""
-        return self.budget.available(urgent) if self.budget else (1000, 0.0)
-
-    async def transact(
-        self, conditions: dict[str, int], changes: list[api.Change], urgent: bool = False
-    ) -> int:
-        """Execute a transaction and return its revision, with the injected failures."""
-        if self.budget:
-            await self.budget.take(len(changes), urgent)
-        sent = [change_as_sent(change) for change in changes]
-        if self.cluster.rng.random() < self.late_share and not (self.cut or self.state.down):
-            delay = self.cluster.rng.uniform(0.5, 12.0)
-            self.cluster.delayed_transactions.append(
-                (self.cluster.clock.at + delay, dict(conditions), sent)
-            )
-            raise OutcomeUnknownError("no answer")
-        conflict: TransactionConflictError | None = None
-        revision = 0
-        try:
-            revision = await super().transact(conditions, sent, urgent)
-        except TransactionConflictError as error:
-            conflict = error
-        if self.cluster.rng.random() < self.lost_answer_share:
-            await curio.sleep(TRANSACTION_TIMEOUT_S)
-            raise OutcomeUnknownError("the answer is lost")
-        await self._delay_answer()
-        if conflict is not None:
-            raise conflict
-        return revision
-
-    async def get(self, key: str, urgent: bool = False) -> api.Entry | None:
-        """Return a key's entry or None, with the injected latency."""
-        self._call()
-        found = self.state.keys.get(key)
-        await self._delay_answer()
-        return api.Entry(key, msgspec.Raw(found[0]), found[1]) if found else None
-
-    async def read(self, prefix: str) -> tuple[list[api.Entry], int]:
-        """Return the entries under a prefix and their revision, with the injected failures."""
-        if any(prefix.startswith(p) for p in self.unreadable_prefixes):
-            raise StateError("too slow")
-        found, revision = await super().read(prefix)
-        await self._delay_answer()
-        return [e for e in found if e.key.startswith(prefix)], revision
-
-    async def watch(self, prefix: str, after: int, wait_s: float) -> api.Events:
-        """Return the events under a prefix after revision `after`."""
-        found = await super().watch(prefix, after, wait_s)
-        found.events = [e for e in found.events if (e.put or e.delete or "").startswith(prefix)]
-        return found
-
-
-@dataclass
-class SimulatedWorker(FakeWorker):
-    """A worker that reports to one controller at a time.
-
-    `heartbeats_lost`: its reports reach no controller, but commands reach it. `hung`: it does
-    nothing and answers nothing; commands sent to it arrive late.
-    """
-
-    model: "SimulatedCluster"  # type: ignore[assignment]
-    controller: int = 0
-    next_report_at: float = 0.0
-    exit_times: dict[str, float] = field(default_factory=dict)
-    failing: set[str] = field(default_factory=set)  # tasks that will end with an error
-    heartbeats_lost: bool = False
-    hung: bool = False
-
-    def work(self, now: float) -> None:
-        """Start the tasks whose image is fetched, and end those whose run time has passed."""
-        if self.hung:
-            return
-        for name, task in self.tasks.items():
-            if task.state == "fetching":
-                task.state = "running"
-                self.model.on_task_started(self, name)
-                self.exit_times[name] = now + self.model.run_time_s(name)
-                self.failing.discard(name)
-                if name in self.completed:
-                    self.exit_times[name] = now
-                elif self.model.draw_task_failure():
-                    self.failing.add(name)
-                    self.exit_times[name] = now + FAILING_TASK_RUN_S
-            elif task.state == "flushing" and self.exit_times[name] <= now:
-                task.state, task.exit_reason = "exited", "halted"
-            elif task.state == "running" and self.exit_times[name] <= now and name in self.failing:
-                task.state, task.exit_reason = "exited", "error"
-            elif task.state == "running" and self.exit_times[name] <= now:
-                task.state, task.exit_reason = "exited", "done"
-                self.completed.add(name)
-                self.model.on_task_completed(name)
-
-    def execute(self, command: api.Command) -> None:
-        """Execute one command; a task with checkpoints saves before it stops, given the time."""
-        task, body = self.tasks.get(command.task), self.model.jobs[command.task.split("/")[0]]
-        saves = body["mark_s"] > 0 and (command.grace_s or 0.0) >= body["stash_s"] > 0
-        if command.op == api.STOP and saves and task == FakeTask(command.attempt, "running"):
-            task.state = "flushing"
-            self.exit_times[command.task] = self.model.clock.at + body["stash_s"]
-        elif command.op != api.STOP or not saves or task is None or task.state != "flushing":
-            super().execute(command)
-
-
 @dataclass
 class ControllerLinks:
     """A controller's connections to peers and workers, in place of its sockets."""
--- a/tests/test_repeated_commands.py
+++ b/tests/test_repeated_commands.py
@@ -19,9 +19,9 @@
 from tests.support.simulated_cluster import (
     CANCEL_S,
     SimulatedCluster,
-    SimulatedWorker,
     run_simulation,
 )
+from tests.support.simulated_worker import SimulatedWorker
 
 NAME = job_of_shard(0)
 TASK = f"{NAME}/0"
--- a/tests/test_uncertain_starts.py
+++ b/tests/test_uncertain_starts.py
@@ -6,12 +6,8 @@
 from starlingdeck.storage import records
 from starlingdeck.storage.state import OutcomeUnknownError
 from tests.support.builders import job_of_shard
-from tests.support.simulated_cluster import (
-    TRANSACTION_TIMEOUT_S,
-    SimulatedCluster,
-    change_as_sent,
-    run_simulation,
-)
+from tests.support.simulated_cluster import SimulatedCluster, run_simulation
+from tests.support.simulated_state import TRANSACTION_TIMEOUT_S, change_as_sent
 
 LATE_S = 8.0
 NEVER_S = 1e9
