--- a/starlingdeck/jobs/attempt_evaluation.py
+++ b/starlingdeck/jobs/attempt_evaluation.py
@@ -172,6 +172,9 @@
             job.cancelled or target or placement.releasing or placement.descheduled
         ):
             self.context.counters.increment(job.spec.team, job.spec.cls, counters.PREEMPTED)
+        if cause != api.CAUSE_DONE:
+            removed_by = self.context.now() + self.context.settings.settings.workers.lease_s
+            job.leave_machine(task, placement.machine, removed_by)
         self._schedule_retry(job, task, placement, cause)
 
     def _schedule_retry(self, job: Job, task: int, placement: TaskPlacement, cause: int) -> None:
--- a/starlingdeck/jobs/job.py
+++ b/starlingdeck/jobs/job.py
@@ -1,7 +1,7 @@
 """In-memory state of a job at its shard's owner."""
 
 from array import array
-from collections.abc import Mapping
+from collections.abc import Collection, Mapping
 from typing import NamedTuple
 
 from msgspec import Struct, field
@@ -67,6 +67,9 @@
     reserving: dict[int, int] = field(default_factory=dict)  # task -> zone of the requested machine
     retry_at: dict[int, float] = field(default_factory=dict)
     avoided_machines: dict[int, set[int]] = field(default_factory=dict)
+    # Task -> machine where an attempt has ended -> until when it may keep that attempt, which has
+    # to be removed before the task can start there.
+    former_machines: dict[int, dict[int, float]] = field(default_factory=dict)
     failed_on: set[int] = field(default_factory=set)  # machines where its tasks have failed
     errors: int = 0
     # Tasks that have requested preemption on a machine because it has their image.
@@ -184,6 +187,22 @@
         known = int(records.encode_completed(self.task_states, first, DONE) or "0", 16)
         return (bits & ~known).bit_count()
 
+    def leave_machine(self, task: int, machine: int, until: float) -> None:
+        """Record that a machine where an attempt of a task has ended may keep it for some time."""
+        self.former_machines.setdefault(task, {})[machine] = until
+
+    def recent_machines(self, task: int, now: float) -> Collection[int]:
+        """Return the machines that may still keep an ended attempt of a task."""
+        machines = self.former_machines.get(task)
+        if machines is None:
+            return ()
+        recent = {machine: until for machine, until in machines.items() if until > now}
+        if recent:
+            self.former_machines[task] = recent
+        else:
+            del self.former_machines[task]
+        return recent
+
     def active_attempts(self) -> int:
         """Return the number of attempts that may be using a machine: recorded, or about to be."""
         attempts = len(self.placements) + len(self.pending_starts) + len(self.reserving)
--- a/starlingdeck/jobs/loader.py
+++ b/starlingdeck/jobs/loader.py
@@ -208,6 +208,7 @@
                 job.pending_ends[task] = old.pending_ends[task]
     job.failed_on, job.errors = old.failed_on, old.errors
     job.backoff_until, job.avoided_machines = old.backoff_until, old.avoided_machines
+    job.former_machines = old.former_machines
     job.guaranteed = old.guaranteed
     unchanged = old.key_versions.get(0) == version
     job.outcome_unknown = old.outcome_unknown and unchanged
--- a/starlingdeck/machines/machine.py
+++ b/starlingdeck/machines/machine.py
@@ -99,6 +99,8 @@
     # Task key -> attempt -> highest token under which a start was sent directly in this session,
     # while the machine has not shown a later token: it may execute a copy of that start.
     start_tokens: dict[int, dict[int, int]] = field(default_factory=dict)
+    # Those of them, task key and attempt, that its newest message doesn't show.
+    vanished: list[tuple[int, int]] = field(default_factory=list)
     # It gets no commands under this token or a lower one, because it may have restarted.
     commands_held_at_token: int = 0
     refused_attempts: set[tuple[int, int]] = field(default_factory=set)  # task key and attempt
--- a/starlingdeck/machines/machine_shard.py
+++ b/starlingdeck/machines/machine_shard.py
@@ -48,7 +48,7 @@
         self.reconciler = Reconciler(self.state, self.desired, self.faults, self.fence)
         self.descheduler = Descheduler(self.state)
         self.leases = LeaseMonitor(self.state, self.fence)
-        self.publisher = SnapshotPublisher(self.state, self.desired, self.fence)
+        self.publisher = SnapshotPublisher(self.state, self.desired)
         self.machines = self.state.machines
         self.unconfirmed_reports = 0  # reports refused because a job shard's watermark was too old
 
--- a/starlingdeck/machines/report_intake.py
+++ b/starlingdeck/machines/report_intake.py
@@ -174,6 +174,7 @@
         machine.evictions.clear()
         machine.unconfirmed_token = 0
         machine.start_tokens.clear()
+        machine.vanished.clear()
         # The lease counts from the beginning of the session, whose first message may be the answer
         # to a command. When it counted from the last report, a machine whose reports don't arrive
         # was taken for lost at once, and the tasks just started there ran twice.
--- a/starlingdeck/machines/scoring.py
+++ b/starlingdeck/machines/scoring.py
@@ -45,7 +45,6 @@
     # For each rank, the least run time that preempting a task of it would lose; -1: no such task.
     youngest_s: list[float] = field(default_factory=list)
     tasks: set[tuple[int, int]] = field(default_factory=set)
-    ended_tasks: set[tuple[int, int]] = field(default_factory=set)  # those of `tasks` that exited
     unconfirmed_s: float = 0.0  # how long it has reported without proof that it receives answers
     lowest_rank: int = NO_RANK  # lowest rank that has preemptible work
 
--- a/starlingdeck/machines/snapshot_publisher.py
+++ b/starlingdeck/machines/snapshot_publisher.py
@@ -7,7 +7,6 @@
 from starlingdeck.machines.lease_monitor import FAULTY_DRAIN_DELAY_S
 from starlingdeck.machines.machine import JobInfo, Machine
 from starlingdeck.machines.shard_state import ShardState
-from starlingdeck.machines.start_fence import StartFence
 from starlingdeck.protocol import api
 from starlingdeck.protocol import peer_pb2 as pb
 
@@ -17,10 +16,9 @@
 class SnapshotPublisher:
     """Builds the snapshot messages for the followers of a shard; `seq` numbers the updates."""
 
-    def __init__(self, state: ShardState, desired: DesiredStateTracker, fence: StartFence) -> None:
+    def __init__(self, state: ShardState, desired: DesiredStateTracker) -> None:
         self.state = state
         self.desired = desired
-        self.fence = fence
         self.seq = 0
 
     def update(self, valid: bool) -> pb.Snapshot:
@@ -126,6 +124,8 @@
         else:
             entry.available_cpus, entry.available_gpus, entry.available_memory_gb = free
         for key, observed in machine.tasks.items():
+            if observed.state == api.TASK_EXITED and self._end_is_recorded(machine, key):
+                continue  # it only waits to be removed
             job, number = split_key(key)
             entry.tasks.add(
                 job=context.job_names[job],
@@ -137,7 +137,7 @@
                 descheduled=key in machine.descheduled,
             )
         pending = [(key, launch.attempt) for key, launch in machine.pending_launches.items()]
-        for key, attempt in pending + self.fence.unreported(machine):
+        for key, attempt in pending + machine.vanished:
             job, number = split_key(key)
             entry.tasks.add(
                 job=context.job_names[job],
@@ -146,6 +146,10 @@
                 state=api.TASK_PENDING,
             )
 
+    def _end_is_recorded(self, machine: Machine, key: int) -> bool:
+        """Return whether the owner of a task's job no longer desires any attempt on a machine."""
+        return self.desired.is_synced(key) and self.desired.find(machine.index, key) is None
+
     def _youngest_s_by_rank(self, machine: Machine) -> list[float]:
         """Return, by rank, the least run time that preempting a task would lose, in seconds."""
         jobs, protected = self.state.jobs, self.desired.protected_tasks
--- a/starlingdeck/machines/start_fence.py
+++ b/starlingdeck/machines/start_fence.py
@@ -69,30 +69,24 @@
 
         Called when the machine's tasks or token have changed.
         """
-        if not machine.start_tokens:
-            return
-        unreported = self.unreported(machine)
         for key, attempts in list(machine.start_tokens.items()):
             kept = {attempt: t for attempt, t in attempts.items() if t >= machine.token}
             if not kept:
                 del machine.start_tokens[key]
             elif len(kept) < len(attempts):
                 machine.start_tokens[key] = kept
-        if unreported:
-            # They have been published as pending, which followers must not believe any longer
-            # than the starts can act.
-            self.state.mark_changed(machine.index)
-            if self.unreported(machine):
-                self.removals_wait_on.add(machine.index)
-
-    def unreported(self, machine: Machine) -> list[tuple[int, int]]:
-        """Return the attempts that a machine doesn't report although it may still start them."""
-        return [
+        vanished = [
             (key, attempt)
             for key, attempts in machine.start_tokens.items()
             for attempt in attempts
             if not _has_attempt(machine, key, attempt)
         ]
+        if vanished != machine.vanished:
+            # Followers must not take them for absent while their starts can act, nor longer.
+            machine.vanished = vanished
+            self.state.mark_changed(machine.index)
+        if vanished:
+            self.removals_wait_on.add(machine.index)
 
     def on_possible_restart(self, machine: Machine) -> None:
         """Hold back the commands to a machine that may have restarted, until the token has risen.
--- a/starlingdeck/scheduling/candidate_pool.py
+++ b/starlingdeck/scheduling/candidate_pool.py
@@ -81,7 +81,6 @@
         machine_type = context.machine_types.get(context.type_names.intern(machine.type))
         if machine_type is None:
             return None
-        live, ended = self._task_keys(machine)
         available = [machine.available_cpus, machine.available_gpus, machine.available_memory_gb]
         for pending in self.pending_allocations.get(index, {}).values():
             available = _subtract(available, pending.size)
@@ -107,20 +106,13 @@
             fetching=set(machine.fetching),
             youngest_s=list(machine.youngest_s),
             unconfirmed_s=machine.unconfirmed_s,
-            tasks=live | ended,
-            ended_tasks=ended - live,
+            tasks={
+                (job, task.task)
+                for task in machine.tasks
+                if (job := context.job_names.find(task.job)) is not None
+            },
         )
 
-    def _task_keys(self, machine: pb.MachineState) -> tuple[set[TaskKey], set[TaskKey]]:
-        """Return the keys of a machine's live tasks, and of those that have exited there."""
-        live: set[TaskKey] = set()
-        ended: set[TaskKey] = set()
-        for task in machine.tasks:
-            job = self.context.job_names.find(task.job)
-            if job is not None:
-                (ended if task.state == api.TASK_EXITED else live).add((job, task.task))
-        return live, ended
-
     def candidates(self) -> list[Candidate]:
         """Return all candidates, after expiring pending allocations.
 
--- a/starlingdeck/scheduling/constraints.py
+++ b/starlingdeck/scheduling/constraints.py
@@ -1,6 +1,6 @@
 """Determines where a job's tasks may run: machine types, zones, spot machines and spreading."""
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Collection, Sequence
 
 from starlingdeck.context import ControllerContext
 from starlingdeck.jobs.job import Job, TaskPlacement
@@ -66,32 +66,22 @@
     return counts
 
 
-def task_filter(job: Job, task: int, zone_allowed: ZoneFilter) -> CandidateFilter:
+def task_filter(
+    job: Job, task: int, zone_allowed: ZoneFilter, former_machines: Collection[int] = ()
+) -> CandidateFilter:
     """Return a filter for one task's machines: allowed zones, not those it failed on or runs on.
 
-    A machine that still reports an ended attempt of the task is left out as well.
+    `former_machines` are left out as well.
     """
     avoided, key = job.avoided_machines.get(task, ()), (job.index, task)
     return lambda candidate: (
         zone_allowed(candidate.zone)
         and candidate.index not in avoided
+        and candidate.index not in former_machines
         and key not in candidate.tasks
     )
 
 
-def former_machine_filter(job: Job, task: int, zone_allowed: ZoneFilter) -> CandidateFilter:
-    """Return a filter for machines that still report an ended attempt of the task.
-
-    A start there waits until the ended attempt can be removed.
-    """
-    avoided, key = job.avoided_machines.get(task, ()), (job.index, task)
-    return lambda candidate: (
-        zone_allowed(candidate.zone)
-        and candidate.index not in avoided
-        and key in candidate.ended_tasks
-    )
-
-
 class EligibleCandidates:
     """The schedulable machines of one scheduling cycle, grouped by job constraints.
 
--- a/starlingdeck/scheduling/scheduler.py
+++ b/starlingdeck/scheduling/scheduler.py
@@ -16,7 +16,6 @@
     ZoneFilter,
     constraint_key,
     count_by_zone,
-    former_machine_filter,
     task_filter,
     zone_filter,
 )
@@ -191,10 +190,11 @@
             self._decide(task, nominated, preempt=True, accumulate=task in job.accumulating)
             return True
         job.accumulating.discard(task)
-        usable = task_filter(job, task, zone_allowed)
+        former_machines = job.recent_machines(task, now)
+        usable = task_filter(job, task, zone_allowed, former_machines)
         candidate = self.sample.best(usable)
-        if candidate is None and job.attempts[task]:
-            candidate = self.sample.best(former_machine_filter(job, task, zone_allowed))
+        if candidate is None and former_machines:
+            candidate = self.sample.best(task_filter(job, task, zone_allowed))
         if candidate is None:
             # The only machines left may be those that the task failed on: allow them again.
             job.avoided_machines.pop(task, None)
