--- a/starlingdeck/jobs/late_starts.py
+++ b/starlingdeck/jobs/late_starts.py
@@ -29,12 +29,16 @@
         self.logged: dict[LateStart, None] = {}
 
     def check(self, snapshot: ShardSnapshot, machines: Iterable[int]) -> None:
-        """Look for late starts on these machines, if the snapshot is of their present owner."""
+        """Look for late starts on these machines, if the snapshot is of their present owner.
+
+        Machines that have not shown this owner's token are left out: what it has received of them
+        may be a late copy of a report, with tasks that have ended since.
+        """
         if self.shard.outboxes[snapshot.shard].epoch != snapshot.epoch:
             return
         for index in machines:
             machine = snapshot.machines.get(index)
-            if machine is None or machine.lost:
+            if machine is None or machine.lost or not machine.fenced:
                 continue
             for observed in machine.tasks:
                 if observed.state in LIVE_STATES and self._has_ended(observed):
