--- /dev/null
+++ b/review/5/case.py
@@ -0,0 +1,72 @@
+"""A service that has failed on three machines never gets its lost replicas back."""
+
+import asyncio
+import sys
+import time
+from pathlib import Path
+
+HERE = Path(__file__).resolve().parent
+sys.path.insert(0, str(HERE.parent / "lib-2"))
+
+from case import main  # noqa: E402 -- needs the path above
+from world import World, small_types, spec  # noqa: E402 -- needs the path above
+
+ZONES = ["ljubljana-rack", "maribor-rack"]
+FAULTY_S = 10.0
+WATCH_S = 75.0
+REPLICAS = 3
+
+
+def build(record: Path) -> World:
+    """Return a deployment with two zones and eight machines of 8 CPUs."""
+    return World(record, [ZONES[0], ZONES[1], ZONES[0]], kinds=small_types(ZONES), capacity={})
+
+
+async def fail_where_it_starts(world: World, task: str) -> None:
+    """Let the machines on which a task is started be faulty, one after the other, three in all."""
+    faulty = set()
+    while len(faulty) < 3:
+        await asyncio.sleep(0.02)
+        for worker in world.cloud.hosts.values():
+            here = worker.tasks.get(task)
+            if worker in faulty or here is None or here.status != "fetching":
+                continue
+            faulty.add(worker)
+            worker.sick = True
+            world.note("machine fails what it starts", worker.name)
+            deadline = time.monotonic() + FAULTY_S
+            while here.status != "exited" and time.monotonic() < deadline:
+                await asyncio.sleep(0.02)
+            worker.sick = False
+            world.note("machine is sound again", worker.name)
+
+
+async def play(world: World, trouble: bool) -> list[str]:
+    """Run a service of three replicas; one of them meets three faulty machines."""
+    for zone in ZONES:
+        for _ in range(4):
+            await world.cloud.rent(world.cloud.kinds[0], zone, False, 0.1)
+    await asyncio.sleep(2)
+    lookup = spec(
+        "j-000001", shape="daemon", flock="record-lookup", rank="prod", chores=REPLICAS, cores=2.0,
+        ram_gb=3.9, guess_s=0.0, spread=True, loaners=False, image_gb=1.0,
+    )  # fmt: skip
+    failing = asyncio.create_task(fail_where_it_starts(world, "j-000001/0")) if trouble else None
+    if not await world.submit("j-000001", lookup):
+        raise RuntimeError("the service was not accepted")
+    if failing is not None:
+        async with asyncio.timeout(30):
+            await failing
+    world.note("from now on every machine is sound")
+    best = 0
+    for _ in range(int(WATCH_S / 5)):
+        await asyncio.sleep(5)
+        await world.poll("j-000001")
+        best = max(best, sum(bool(workers) for workers in world.checker.on.values()))
+    if best >= REPLICAS:
+        return []
+    return [f"for {WATCH_S:.0f} s only {best} of {REPLICAS} replicas ran, all machines sound"]
+
+
+if __name__ == "__main__":
+    main(build, play, HERE)
