--- a/review/5/case.py
+++ b/review/5/case.py
@@ -2,17 +2,17 @@
 
 import asyncio
 import sys
-import time
 from pathlib import Path
 
 HERE = Path(__file__).resolve().parent
 sys.path.insert(0, str(HERE.parent / "lib-2"))
 
 from case import main  # noqa: E402 -- needs the path above
+from machines import Worker  # noqa: E402 -- needs the path above
 from world import World, small_types, spec  # noqa: E402 -- needs the path above
 
 ZONES = ["ljubljana-rack", "maribor-rack"]
-FAULTY_S = 10.0
+FAULTY_MACHINES = 3
 WATCH_S = 75.0
 REPLICAS = 3
 
@@ -24,21 +24,22 @@
 
 async def fail_where_it_starts(world: World, task: str) -> None:
     """Let the machines on which a task is started be faulty, one after the other, three in all."""
-    faulty = set()
-    while len(faulty) < 3:
-        await asyncio.sleep(0.02)
-        for worker in world.cloud.hosts.values():
-            here = worker.tasks.get(task)
-            if worker in faulty or here is None or here.status != "fetching":
-                continue
-            faulty.add(worker)
+    faulty: list[Worker] = []
+
+    def on_launch(worker: Worker, name: str) -> None:
+        if name == task and worker not in faulty and len(faulty) < FAULTY_MACHINES:
+            faulty.append(worker)
             worker.sick = True
             world.note("machine fails what it starts", worker.name)
-            deadline = time.monotonic() + FAULTY_S
-            while here.status != "exited" and time.monotonic() < deadline:
-                await asyncio.sleep(0.02)
-            worker.sick = False
-            world.note("machine is sound again", worker.name)
+
+    world.on_launch = on_launch
+    while len(faulty) < FAULTY_MACHINES or any(worker.sick for worker in faulty):
+        await asyncio.sleep(0.02)
+        for worker in faulty:
+            here = worker.tasks.get(task)
+            if worker.sick and (here is None or here.status == "exited"):
+                worker.sick = False
+                world.note("machine is sound again", worker.name)
 
 
 async def play(world: World, trouble: bool) -> list[str]:
--- a/review/lib-2/machines.py
+++ b/review/lib-2/machines.py
@@ -133,6 +133,7 @@
             task.status, task.cause = "exited", "in_use"
             return  # the live attempt is reported; the refusal has the same name
         self.tasks[name] = task
+        self.world.on_launch(self, name)
         if spec is None:
             self._exit(name, "no_such")
             return
--- a/review/lib-2/world.py
+++ b/review/lib-2/world.py
@@ -11,6 +11,7 @@
 import time
 import tomllib
 from collections import defaultdict
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
@@ -179,6 +180,8 @@
         self.seen: dict[str, Seen] = defaultdict(Seen)
         self.results: set[str] = set()
         self.run_times: dict[str, float] = {}
+        # Called when a worker is told to launch a task.
+        self.on_launch: Callable[[Worker, str], None] = lambda *_: None
         # Stop commands that workers executed: task, attempt, when the attempt was launched there.
         self.stops: list[tuple[str, int, float]] = []
         self.tokens: dict[int, int] = {}
