--- a/review/5/case.py
+++ b/review/5/case.py
@@ -13,7 +13,7 @@
 from case import main  # noqa: E402 -- needs the path above
 from world import World, small_types, spec  # noqa: E402 -- needs the path above
 
-ZONE = "regina-hall"
+ZONE = "ljubljana-rack"
 TEAMS = 18
 LIMIT_CPUS = 12.0
 STILL_S = 1.45
--- a/review/lib-2/case.py
+++ b/review/lib-2/case.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import os
+import signal
 import sys
 import traceback
 from collections.abc import Awaitable, Callable
@@ -22,6 +23,9 @@
 
 async def _run(build: Callable[[Path], World], play: Play, record: Path) -> int:
     trouble = os.environ.get("TROUBLE", "1") != "0"
+    task = asyncio.current_task()
+    if task is not None:  # SIGTERM ends the controllers too
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
     world = build(record)
     world.note("TROUBLE", int(trouble))
     try:
@@ -44,7 +48,10 @@
     if not (ROOT / "target" / "deps").is_dir():
         print("the build of the deploy file is missing")
         sys.exit(NOT_RUN)
-    status = asyncio.run(_run(build, play, folder / "record.txt"))
+    try:
+        status = asyncio.run(_run(build, play, folder / "record.txt"))
+    except asyncio.CancelledError:
+        status = NOT_RUN
     sys.stdout.flush()
     sys.stderr.flush()
     os._exit(status)
--- a/review/lib-2/world.py
+++ b/review/lib-2/world.py
@@ -5,6 +5,7 @@
 import os
 import random
 import shlex
+import shutil
 import signal
 import subprocess
 import tempfile
@@ -169,7 +170,10 @@
         self.teams = options.get("teams") or [
             {"name": "arhiv-team", "cpus": 0.0, "cpus_max": 0.0, "gpus": 0.0, "gpus_max": 0.0}
         ]
-        self.state_limits = {"rps": 120.0, "write_rps": 30.0, "value_kb": 16.0, "txn_ops": 24}
+        # The defaults are those of novak-registry.
+        self.state_limits = options.get("state_limits") or {
+            "rps": 120.0, "write_rps": 30.0, "value_kb": 16.0, "txn_ops": 24,
+        }  # fmt: skip
         self.objectives = options.get("objectives", [])
         self.list_lag_s = options.get("list_lag_s", 3.0)
         self.nodes = [
@@ -328,6 +332,8 @@
             if node.process is not None and node.process.poll() is None:
                 node.process.kill()
                 node.process.wait()
+        if os.environ.get("KEEP", "") != "1":  # the settings and logs of the controllers
+            shutil.rmtree(self.folder, ignore_errors=True)
 
     def crashed(self) -> list[str]:
         """Return the controllers whose process ended by itself."""
