--- a/review/7/case.py
+++ b/review/7/case.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import sys
+import time
 from pathlib import Path
 
 HERE = Path(__file__).resolve().parent
@@ -13,7 +14,7 @@
 
 ZONES = ["ljubljana-rack", "maribor-rack"]
 FAULTY_MACHINES = 3
-WATCH_S = 75.0
+WAIT_S = 90.0  # kit/more/hunt/LATER.md
 REPLICAS = 3
 
 
@@ -59,14 +60,16 @@
         async with asyncio.timeout(30):
             await failing
     world.note("from now on every machine is sound")
+    sound_since = time.monotonic()
     best = 0
-    for _ in range(int(WATCH_S / 5)):
-        await asyncio.sleep(5)
+    while time.monotonic() - sound_since <= WAIT_S:
+        await asyncio.sleep(3)
         await world.poll("j-000001")
         best = max(best, sum(bool(workers) for workers in world.checker.on.values()))
-    if best >= REPLICAS:
-        return []
-    return [f"for {WATCH_S:.0f} s only {best} of {REPLICAS} replicas ran, all machines sound"]
+        if best >= REPLICAS:
+            return []
+    waited_s = time.monotonic() - sound_since
+    return [f"{best} of {REPLICAS} replicas ran for {waited_s:.0f} s, all machines sound"]
 
 
 if __name__ == "__main__":
