Tests: the simulated cluster has machine types and spot machines, and names each once

The check of each start knew the zones alone. It now compares type, zone and kind with tests/support/placement_model.py, a plain reading of the protocol's table; two broken services of their own turn it red (wrong_machine_type, spot_machine_not_allowed). The check of waiting beside capacity asks the same model where a job's task may start: stricter for same_place and spread (only the zones that the job may still use must be free), and silent only where the job's fields leave no place at all.

Nothing of the service changes.

--- a/tests/support/reference_model.py
+++ b/tests/support/reference_model.py
@@ -30,6 +30,7 @@
     put_change,
 )
 from tests.support.builders import Clock, make_context, spec
+from tests.support.placement_model import Place
 
 WORKER_LEASE_S = 10.0
 CONTROLLER_LEASE_S = 4.0
@@ -159,6 +160,13 @@
     completed: set[str] = field(default_factory=set)
     unreachable: bool = False  # one-way partition: its reports arrive, nothing reaches it
     notice_s: float | None = None  # seconds until the cloud takes the machine away, if announced
+    machine_type: str = "small"
+    spot: bool = False
+
+    @property
+    def place(self) -> Place:
+        """What the placement fields of jobs can tell apart of the machine."""
+        return Place(self.machine_type, self.zone, self.spot)
 
     def restart(self, now: float) -> None:
         """Restart the machine at once: tasks, session, sequence number and token are reset."""
@@ -180,8 +188,8 @@
             for name, t in self.tasks.items()
         ]
         return api.Report(
-            self.name, f"w:{self.name}", "small", self.zone, self.session, self.seq, self.token,
-            False, self.notice_s, tasks,
+            self.name, f"w:{self.name}", self.machine_type, self.zone, self.session, self.seq,
+            self.token, self.spot, self.notice_s, tasks,
         )  # fmt: skip
 
     def handle_reply(self, reply: api.ReportReply, session: int, sent: float) -> None:
--- a/tests/support/simulated_cluster.py
+++ b/tests/support/simulated_cluster.py
@@ -10,6 +10,7 @@
 from collections.abc import Awaitable, Callable, Coroutine
 from dataclasses import dataclass
 from functools import partial
+from itertools import cycle
 from typing import Any
 
 import curio
@@ -26,6 +27,7 @@
 from starlingdeck.transport.client import ConnectionFailedError, NoResponseError, Reply
 from starlingdeck.transport.server import Request, Response
 from tests.support.builders import Clock, job_body, make_context
+from tests.support.placement_model import Place, allows
 from tests.support.reference_model import (
     FakeTask,
     FakeWorker,
@@ -47,6 +49,8 @@
 ON_MACHINE_STATES = ("running", "flushing")  # the rules count a task in these states
 REPEAT_DELAY_S = (2.0, 60.0)  # how much later a call that was answered arrives once more
 MAX_REPEATS = 3  # of one call
+# The machine types and kinds (spot or not) that the machines of a mixed shard have in turn.
+MACHINE_MIX = [("small", False), ("big", True), ("small", True), ("big", False)]
 real_sleep = curio.sleep
 
 
@@ -116,10 +120,12 @@
         workers: int = 6,
         zones: tuple[str, ...] = ("a", "a", "a"),
         limit: float = 0.0,
+        mixed_machines: bool = False,
     ) -> None:
         """Start controllers, one in each of `zones`, and the same number of workers for each.
 
-        `limit` is the limit of team blue in cores; 0 leaves the default.
+        `limit` is the limit of team blue in cores; 0 leaves the default. `mixed_machines`: those of
+        a shard are of both types and kinds in turn, instead of small machines on demand.
         """
         self.rng = random.Random(seed)
         self.clock = Clock()
@@ -163,13 +169,8 @@
             [n for n in names if shard_of_machine(n, zone, zones) == shard][:per_shard]
             for shard, zone in enumerate(zones)
         ]
-        self.workers = {
-            name: SimulatedWorker(
-                name, zones[i], self, lease_renewed_at=self.clock.at, controller=i
-            )
-            for i, shard_machines in enumerate(machines)
-            for name in shard_machines
-        }
+        self.workers = self.first_workers(machines, mixed_machines)
+        self.machine_names = {*self.workers}  # the cloud gives each name once
         self.run_times: dict[str, float] = {}  # seconds, by job or task
         self.completed_tasks: set[str] = set()
         self.start_counts: dict[str, int] = {}  # task -> number of starts
@@ -185,6 +186,18 @@
         self.late_starts: dict[str, float] = {}  # task -> seconds from cancellation to start
         self.waiting_since: dict[str, float] = {}  # task -> since when it waits beside capacity
 
+    def first_workers(self, machines: list[list[str]], mixed: bool) -> dict[str, SimulatedWorker]:
+        """Return a worker for each machine of each shard; `mixed`: of both types and kinds."""
+        workers: dict[str, SimulatedWorker] = {}
+        for shard, names in enumerate(machines):
+            for name, (machine_type, spot) in zip(names, cycle(MACHINE_MIX), strict=False):
+                worker = workers[name] = SimulatedWorker(
+                    name, self.zones[shard], self, lease_renewed_at=self.clock.at, controller=shard
+                )
+                if mixed:
+                    worker.resize(machine_type, spot)
+        return workers
+
     # --- controllers
 
     def start_controller(self, number: int) -> Controller:
@@ -365,10 +378,11 @@
         zone, number = self.zones[shard], 100 + len(self.workers)
         while (
             shard_of_machine(f"vm-{number}", zone, self.zones) != shard
-            or f"vm-{number}" in self.workers
+            or f"vm-{number}" in self.machine_names
         ):
             number += 1
         name = f"vm-{number}"
+        self.machine_names.add(name)
         self.workers[name] = SimulatedWorker(
             name,
             zone,
@@ -381,7 +395,8 @@
     def replace_noticed_machines(self) -> None:
         """Take away the machines that have a termination notice, and add one for each."""
         for worker in [w for w in self.workers.values() if w.notice_s is not None]:
-            self.boot_machine(self.ownership_of(worker)[0])
+            successor = self.boot_machine(self.ownership_of(worker)[0])
+            successor.resize(worker.machine_type, worker.spot)
             del self.workers[worker.name]
 
     def run_time_s(self, task: str) -> float:
@@ -408,13 +423,8 @@
         body = self.jobs[job]
         live = self.live_tasks(job)
         zones = [w.zone for w, n, t in live if n != name and t.state in ON_MACHINE_STATES]
-        limit = (body["chores"] + 1) // 2
-        if (
-            body["roost"] not in (None, worker.zone)
-            or (body["same_place"] and {*zones} - {worker.zone})
-            or (body["spread"] and zones.count(worker.zone) >= limit)
-        ):
-            raise InvariantViolationError(f"wrong_place: {name} in {worker.zone}, beside {zones}")
+        if not allows(body, worker.place, zones):
+            raise InvariantViolationError(f"wrong_place: {name} on {worker.place}, beside {zones}")
 
     def live_tasks(self, job: str = "") -> list[tuple["SimulatedWorker", str, FakeTask]]:
         """Return the tasks that have not exited, with worker and name; only of `job`, if given."""
@@ -610,23 +620,22 @@
 
     def check_starvation(self, now: float) -> None:
         """Check that no task waits longer than allowed while capacity that fits it stays free."""
-        capacity: dict[str, int] = {}
+        capacity: dict[Place, int] = {}
         for w in self.workers.values():
-            capacity[w.zone] = (
-                capacity.get(w.zone, 0)
-                + w.slots
-                - sum(1 for o, _, _ in self.live_tasks() if o is w)
-            )
+            live_tasks = sum(1 for o, _, _ in self.live_tasks() if o is w)
+            capacity[w.place] = capacity.get(w.place, 0) + w.slots - live_tasks
         for name, body in self.jobs.items():
-            live = {n for _, n, _ in self.live_tasks(name)}
+            live = {n: w.zone for w, n, _ in self.live_tasks(name)}
             exempt = (
                 name not in self.acknowledged
                 or name in self.reported_terminal
                 or name in self.cancellation_requested
             )
             full = body["crew"] == "blue" and 0 < self.limit < self.used + body["cores"]
-            zones = [body["roost"]] if body["roost"] else list(capacity)
-            fits = not exempt and not full and all(capacity[z] > 0 for z in zones)
+            # Where the job's own fields allow one more task beside its live ones; maybe nowhere.
+            places = [place for place in capacity if allows(body, place, [*live.values()])]
+            free = bool(places) and all(capacity[place] > 0 for place in places)
+            fits = free and not exempt and not full
             for task in (f"{name}/{i}" for i in range(body["chores"])):
                 if not fits or task in live or task in self.completed_tasks:
                     self.waiting_since.pop(task, None)
--- a/tests/support/simulated_worker.py
+++ b/tests/support/simulated_worker.py
@@ -9,6 +9,7 @@
 if TYPE_CHECKING:
     from tests.support.simulated_cluster import SimulatedCluster
 
+SLOTS_BY_TYPE = {"small": 2, "big": 8}  # number of tasks with 2 cores that a machine holds
 FAILING_TASK_RUN_S = 0.5  # how long a task runs that ends with an error
 
 
@@ -28,6 +29,11 @@
     heartbeats_lost: bool = False
     hung: bool = False
 
+    def resize(self, machine_type: str, spot: bool) -> None:
+        """Make the machine one of this type and kind, before it reports."""
+        self.machine_type, self.spot = machine_type, spot
+        self.slots = SLOTS_BY_TYPE[machine_type]
+
     def work(self, now: float) -> None:
         """Start the tasks whose image is fetched, and end those whose run time has passed."""
         if self.hung:
--- a/tests/test_invariant_checks.py
+++ b/tests/test_invariant_checks.py
@@ -141,6 +141,25 @@
     await cluster.run(4.0)
 
 
+async def wrong_machine_type(cluster: SimulatedCluster, _patch: Patch) -> None:
+    """The service doesn't know that the job is bound to machine types."""
+    await cluster.run(4.0)
+    await cluster.spawn(cluster.submit, NAME, 8, 30.0)
+    await cluster.run(0.1)
+    cluster.jobs[NAME]["builds"] = ["big"]
+    await cluster.run(4.0)
+
+
+async def spot_machine_not_allowed(cluster: SimulatedCluster, _patch: Patch) -> None:
+    """Spot machines report that they are not."""
+    await cluster.run(4.0)
+    await cluster.spawn(cluster.submit, NAME, 8, 30.0)
+    await cluster.run(0.1)
+    for worker in cluster.workers.values():
+        worker.spot = True
+    await cluster.run(4.0)
+
+
 async def tasks_not_spread(cluster: SimulatedCluster, _patch: Patch) -> None:
     await cluster.run(4.0)
     await cluster.spawn(cluster.submit, NAME, 12, 30.0)
@@ -205,6 +224,8 @@
     (ran_twice, "ran_twice"),
     (quota_exceeded, "quota"),
     (wrong_zone, "wrong_place"),
+    (wrong_machine_type, "wrong_place"),
+    (spot_machine_not_allowed, "wrong_place"),
     (tasks_not_spread, "wrong_place"),
     (ran_after_cancellation, "ran_cancelled: .* s after"),
     (started_after_cancellation, "ran_cancelled: .* began"),
