Scheduling: a one-zone job that spreads runs half of its tasks at once

Cause: `zone_filter` returned the filter of `same_place` before it came to `spread`. It is the one filter of starts, moves, preemption and accumulation, and all four chose wrongly.

Why this works: the filter (now `jobs/zone_rules.py`, so that admission can ask it too) holds both at once. That alone would have left half of the array waiting for good, as demand. So `placeable_tasks` says how many more tasks the job's own zone fields let be placed; the others are no part of a cycle's unplaced tasks, of rentals, of the demand for quota, and take no probe; their nominations end.

--- a/starlingdeck/admission/quota_demand.py
+++ b/starlingdeck/admission/quota_demand.py
@@ -6,6 +6,7 @@
 from starlingdeck.context import UNBOUNDED, ControllerContext
 from starlingdeck.jobs.job import Job
 from starlingdeck.jobs.record_writer import RecordWriter
+from starlingdeck.jobs.zone_rules import placeable_tasks
 
 ROUNDING_TOLERANCE = 1e-9  # tolerance when a task is fitted into what is left of a share
 MAX_DEMAND_TASKS_PER_JOB = 1000  # limit on the waiting tasks that count as demand
@@ -89,7 +90,9 @@
             key = (job.team, job.shard)
             size = ResourceAmount(job.spec.cpus, job.spec.gpus)
             before = demand.get(key, ZERO)
-            tasks = len(job.pending(MAX_DEMAND_TASKS_PER_JOB))
+            tasks = min(
+                len(job.pending(MAX_DEMAND_TASKS_PER_JOB)), placeable_tasks(self.context, job)
+            )
             if tasks:
                 task_sizes.setdefault(key, set()).add(size)
             demand[key] = ResourceAmount(
--- a/starlingdeck/scheduling/accumulation.py
+++ b/starlingdeck/scheduling/accumulation.py
@@ -4,8 +4,9 @@
 
 from starlingdeck.context import fits
 from starlingdeck.jobs.job import Job
+from starlingdeck.jobs.zone_rules import count_by_zone, zone_filter
 from starlingdeck.machines.scoring import Candidate
-from starlingdeck.scheduling.constraints import count_by_zone, task_filter, zone_filter
+from starlingdeck.scheduling.constraints import task_filter
 from starlingdeck.scheduling.decision import PlacementDecision
 
 RESOURCE_TOLERANCE = 1e-9  # sums of decimal amounts may be off by this
--- a/starlingdeck/scheduling/constraints.py
+++ b/starlingdeck/scheduling/constraints.py
@@ -1,12 +1,12 @@
-"""Determines where a job's tasks may run: machine types, zones, spot machines and spreading."""
+"""Determines which machines a job's tasks may run on: machine types, zone, and spot machines."""
 
 from collections.abc import Callable, Collection, Sequence
 
 from starlingdeck.context import ControllerContext
-from starlingdeck.jobs.job import Job, TaskPlacement
+from starlingdeck.jobs.job import Job
+from starlingdeck.jobs.zone_rules import ZoneFilter
 from starlingdeck.machines.scoring import Candidate
 
-ZoneFilter = Callable[[int], bool]
 CandidateFilter = Callable[[Candidate], bool]
 
 
@@ -30,42 +30,6 @@
     return spec.spot or not candidate.spot
 
 
-def zone_filter(job: Job, zone_counts: dict[int, int]) -> ZoneFilter:
-    """Return a filter for the zones of the job's next task, given its number of tasks by zone.
-
-    While a task of a job that must stay in one zone moves to another, it counts in both. Until it
-    has left the old one, no zone is allowed to the others.
-    """
-    spec = job.spec
-    if spec.one_zone and zone_counts:
-        return lambda zone: zone_counts.keys() == {zone}
-    if spec.spread:
-        limit = (spec.tasks + 1) // 2
-        return lambda zone: zone_counts.get(zone, 0) < limit
-    return lambda _zone: True
-
-
-def count_by_zone(job: Job, leaving: TaskPlacement | None = None) -> dict[int, int]:
-    """Count the job's tasks by zone: placed, starting, maybe starting, or with a request.
-
-    A task that is being moved also counts in its target's zone. `leaving` is a placement that its
-    task is about to leave: it isn't counted, so that it doesn't restrict the task's next placement.
-    """
-    counts: dict[int, int] = {}
-    for placement in (
-        *job.placements.values(),
-        *job.pending_starts.values(),
-        *job.uncertain_starts.values(),
-    ):
-        if placement is not leaving:
-            counts[placement.zone] = counts.get(placement.zone, 0) + 1
-        if placement.target is not None:
-            counts[placement.target.zone] = counts.get(placement.target.zone, 0) + 1
-    for zone in job.reserving.values():
-        counts[zone] = counts.get(zone, 0) + 1
-    return counts
-
-
 def task_filter(
     job: Job, task: int, zone_allowed: ZoneFilter, former_machines: Collection[int] = ()
 ) -> CandidateFilter:
--- a/starlingdeck/scheduling/moves.py
+++ b/starlingdeck/scheduling/moves.py
@@ -6,9 +6,10 @@
 from starlingdeck.interning import split_key
 from starlingdeck.jobs.job import Job
 from starlingdeck.jobs.record_writer import RecordWriter
+from starlingdeck.jobs.zone_rules import count_by_zone, zone_filter
 from starlingdeck.machines import scoring
 from starlingdeck.machines.scoring import Candidate
-from starlingdeck.scheduling.constraints import count_by_zone, satisfies_constraints, zone_filter
+from starlingdeck.scheduling.constraints import satisfies_constraints
 from starlingdeck.scheduling.decision import PlacementDecision
 from starlingdeck.storage.limiter import TokenBucket
 
--- a/starlingdeck/scheduling/planner.py
+++ b/starlingdeck/scheduling/planner.py
@@ -11,6 +11,7 @@
 
 from starlingdeck.context import ControllerContext
 from starlingdeck.jobs.job import MIN_URGENT_RANK, Job
+from starlingdeck.jobs.zone_rules import placeable_tasks
 from starlingdeck.protocol.config import OverloadSettings
 from starlingdeck.scheduling import guarantees, priority
 from starlingdeck.scheduling.accumulation import accumulate_capacity
@@ -180,14 +181,27 @@
         return True
 
     def _pending_jobs(self, now: float) -> list[Job]:
-        """Return the jobs with tasks to place, without quarantined jobs and held-back probes."""
+        """Return the jobs with tasks to place that nothing but capacity and limits holds back."""
         return [
             job
             for job in self._all_jobs()
             if not (job.cancelled or job.terminal_state or job.stale) and job.pending(1)
-            if not self.context.is_quarantined("job", job.id) and self._may_probe(job, now)
+            if not self.context.is_quarantined("job", job.id)
+            if self._zones_allow_more(job) and self._may_probe(job, now)
         ]
 
+    def _zones_allow_more(self, job: Job) -> bool:
+        """Return whether a job's zone rules allow one more task; if not, drop its nominations.
+
+        The machines nominated for its waiting tasks would make room that none of them could use.
+        """
+        if placeable_tasks(self.context, job) > 0:
+            return True
+        if not job.reserving:
+            job.nominated.clear()
+            job.accumulating.clear()
+        return False
+
     def _may_probe(self, job: Job, now: float) -> bool:
         """Return whether a job may be placed now.
 
--- a/starlingdeck/scheduling/preemption.py
+++ b/starlingdeck/scheduling/preemption.py
@@ -5,15 +5,10 @@
 
 from starlingdeck.context import ControllerContext, Resources, fit_count, fits
 from starlingdeck.jobs.job import Job
+from starlingdeck.jobs.zone_rules import count_by_zone, zone_filter
 from starlingdeck.machines.scoring import Candidate
 from starlingdeck.protocol import api
-from starlingdeck.scheduling.constraints import (
-    ConstraintKey,
-    EligibleCandidates,
-    constraint_key,
-    count_by_zone,
-    zone_filter,
-)
+from starlingdeck.scheduling.constraints import ConstraintKey, EligibleCandidates, constraint_key
 from starlingdeck.scheduling.decision import PlacementDecision
 from starlingdeck.scheduling.priority import has_quota_pressure, wait_objective_s
 
--- a/starlingdeck/scheduling/scheduler.py
+++ b/starlingdeck/scheduling/scheduler.py
@@ -8,16 +8,19 @@
 
 from starlingdeck.context import UNBOUNDED, ControllerContext, Resources
 from starlingdeck.jobs.job import Job
+from starlingdeck.jobs.zone_rules import (
+    ZoneFilter,
+    count_by_zone,
+    placeable_tasks,
+    zone_filter,
+)
 from starlingdeck.machines.scoring import Candidate, CandidateSample
 from starlingdeck.scheduling.constraints import (
     CandidateFilter,
     ConstraintKey,
     EligibleCandidates,
-    ZoneFilter,
     constraint_key,
-    count_by_zone,
     task_filter,
-    zone_filter,
 )
 from starlingdeck.scheduling.decision import JobTaskCount, PlacementDecision
 from starlingdeck.scheduling.preemption import (
@@ -92,7 +95,7 @@
         limit = min(self.remaining, limit, self.headroom(job))
         if len(job.failed_on) >= self.context.tuning.suspect_machines:
             limit = min(limit, 1 - job.active_attempts())
-        return limit
+        return min(limit, placeable_tasks(self.context, job)) if limit > 0 else limit
 
     def _idle_limit(self, job: Job) -> int:
         """Return how many tasks a job of the lowest rank may place now; other jobs aren't limited.
--- a/tests/test_concurrent_failures.py
+++ b/tests/test_concurrent_failures.py
@@ -1,5 +1,6 @@
 """Concurrent failures: the table of combinations is in docs/design/meetings.md."""
 
+from collections.abc import Sequence
 from typing import Any
 
 import msgspec
@@ -210,14 +211,18 @@
 
 
 async def run_random_failures(
-    cluster: SimulatedCluster, steps: list[tuple[str, int, float]]
+    cluster: SimulatedCluster,
+    steps: list[tuple[str, int, float]],
+    fields_of_jobs: Sequence[dict[str, Any]] = (),
 ) -> None:
     """Run short and long jobs of two or three tasks under concurrent failures, cancel some, and
-    check that every job stays known, and ends once the failures are over."""
+    check that every job stays known, and ends once the failures are over. `fields_of_jobs`, if
+    given, are the nine jobs' placement fields."""
     names = [job_of_shard(shard, n) for n in range(3) for shard in range(3)]
     await cluster.run(4.0)
     for i, name in enumerate(names):
-        tasks, run_s, fields = 2 + i % 2, (5.0, 25.0, 60.0)[i // 3], job_fields(cluster, i)
+        tasks, run_s = 2 + i % 2, (5.0, 25.0, 60.0)[i // 3]
+        fields = fields_of_jobs[i] if fields_of_jobs else job_fields(cluster, i)
         await cluster.spawn(lambda n=name, c=tasks, s=run_s, f=fields: cluster.submit(n, c, s, **f))
     await cluster.run(3.0)
     for i, (kind, number, seconds) in enumerate(steps):
@@ -251,6 +256,43 @@
     check_random_failures(monkeypatch)
 
 
+PLACEMENT_FIELDS = st.fixed_dictionaries(
+    {
+        "roost": st.sampled_from([None, "a", "b"]),
+        "same_place": st.booleans(),
+        "spread": st.booleans(),
+        "builds": st.sampled_from([None, ["small"], ["big"]]),
+        "loaners": st.booleans(),
+        "shape": st.just("sweep"),
+        "mark_s": st.sampled_from([0.0, 10.0]),
+        "stash_s": st.just(2.0),
+    }
+)
+
+
+@settings(derandomize=True, max_examples=20, deadline=None)
+@given(
+    seed=st.integers(0, 1 << 16),
+    fields_of_jobs=st.lists(PLACEMENT_FIELDS, min_size=9, max_size=9),
+    steps=st.lists(STEPS, min_size=3, max_size=8),
+)
+def check_placement_fields(
+    monkeypatch: pytest.MonkeyPatch,
+    seed: int,
+    fields_of_jobs: list[dict[str, Any]],
+    steps: list[tuple[str, int, float]],
+) -> None:
+    cluster = SimulatedCluster(seed, workers=12, zones=("a", "b", "a"), mixed_machines=True)
+    run_simulation(monkeypatch, cluster, run_random_failures(cluster, steps, fields_of_jobs))
+
+
+def test_placement_fields_hold_together_under_random_failures(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Jobs with several placement fields at once: one field hid another, and tasks ran wrongly."""
+    check_placement_fields(monkeypatch)
+
+
 # --- single steps of the protocol
 
 
