Jobs: each write of starts checks all placement fields, not the one zone alone

The check at each write (`jobs/invariants.py`) knew `same_place` only.

It now checks each start's zone, type and kind, and its zone against the job's other attempts, those of unknown outcome among them. It is written independently of the filter that the planner uses. A placement keeps its machine's type and kind in memory for that; they are not recorded.

Only starts are judged. Tasks that an older version has placed wrongly fail no check: their ends are written, the job isn't set aside, and nothing starts in a full zone until enough tasks have ended (test_a_job_that_an_older_version_placed_wrongly_is_not_set_aside).

--- a/starlingdeck/jobs/job.py
+++ b/starlingdeck/jobs/job.py
@@ -44,6 +44,8 @@
     protected: bool = False  # not to be preempted: its class is below its minimum share
     target: "TaskPlacement | None" = None  # where the task moves once it has stopped (DESIGN 5)
     reserved_until: float = NEVER_EXPIRES  # when its reservation expires
+    machine_type: int | None = None  # interned; None: read from a record
+    spot: bool = False  # False too if read from a record
 
 
 class Job(Struct):
--- a/starlingdeck/jobs/update_drafter.py
+++ b/starlingdeck/jobs/update_drafter.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from starlingdeck.jobs.invariants import check_all_completed, check_one_zone
+from starlingdeck.jobs.invariants import check_all_completed, check_places
 from starlingdeck.jobs.job import Job, TaskPlacement
 from starlingdeck.jobs.job_records import densest_chunks, encode_chunk, encode_placement
 from starlingdeck.jobs.job_update import JobUpdate, LogUpdate
@@ -107,8 +107,7 @@
             for task, placement in job.pending_starts.items()
             if task not in job.withheld
         }
-        if starts and job.spec.one_zone:
-            check_one_zone(job, starts)
+        check_places(self.context, job, starts)
         return starts
 
     def _drop_superseded_starts(self, job: Job) -> None:
--- a/starlingdeck/scheduling/reservation_client.py
+++ b/starlingdeck/scheduling/reservation_client.py
@@ -123,6 +123,8 @@
             state_since=now,
             protected=decision.protected,
             reserved_until=answer.requested_at + reserved_for_s,
+            machine_type=decision.candidate.type,
+            spot=decision.candidate.spot,
         )
         await self._use_reservation(job, task, target, moves=answer.hold_s > 0)
 
--- a/tests/test_placement_fields.py
+++ b/tests/test_placement_fields.py
@@ -16,10 +16,12 @@
 from starlingdeck.admission.quota import Quota, ResourceAmount
 from starlingdeck.admission.quota_demand import QuotaDemand
 from starlingdeck.interning import task_key
+from starlingdeck.jobs.invariants import JobInvariantError
 from starlingdeck.jobs.job import PENDING, PLACED, TaskPlacement, new_job
 from starlingdeck.jobs.job_shard import JobShard
 from starlingdeck.jobs.zone_rules import placeable_tasks
 from starlingdeck.machines.scoring import Candidate
+from starlingdeck.protocol import api
 from starlingdeck.protocol.api import MachineType
 from starlingdeck.scheduling import scheduler
 from starlingdeck.scheduling.accumulation import accumulate_capacity
@@ -233,3 +235,85 @@
     del job.placements[1]
     job.task_states[1] = PENDING
     assert curio.run(controller.planner.run_cycle)
+
+
+# --- the check of each write
+
+
+def shard_with(setting: Setting) -> JobShard:
+    """Return a shard with the setting's job, as if its record had been read."""
+    shard = JobShard(setting.context, 0, 3, 9)
+    setting.job.key_versions[0] = 1
+    shard.jobs[setting.job.index] = setting.job
+    return shard
+
+
+def add_start(setting: Setting, zone: str, machine_type: str = "big", spot: bool = False) -> None:
+    """Let the job's next task be about to start, as a planner might wrongly choose."""
+    context, job = setting.context, setting.job
+    job.pending_starts[len(job.placements) + len(job.pending_starts)] = TaskPlacement(
+        setting.placed_on,
+        1,
+        1,
+        0,
+        context.zone_names.intern(zone),
+        machine_type=context.type_names.intern(machine_type),
+        spot=spot,
+    )
+
+
+@pytest.mark.parametrize(
+    ("fields", "placed", "start", "error"),
+    [
+        ({"roost": "b"}, [], ("a",), "zone b would be in a"),
+        ({"builds": ["small"]}, [], ("a", "big"), "of type big"),
+        ({"loaners": False}, [], ("a", "big", True), "spot machine"),
+        ({"same_place": True}, ["a"], ("b",), "2 zones"),
+        ({"spread": True}, ["a", "a"], ("a",), "3 tasks .* at most 2"),
+        ({"spread": True, "roost": "a"}, ["a", "a"], ("a",), "3 tasks .* at most 2"),
+        ({"spread": True, "same_place": True}, ["a", "a"], ("a",), "3 tasks .* at most 2"),
+        ({"spread": True, "same_place": True}, ["a"], ("b",), "2 zones"),
+    ],
+)
+def test_a_start_in_a_wrong_place_is_not_recorded(
+    fields: dict[str, Any], placed: list[str], start: tuple[Any, ...], error: str
+) -> None:
+    """In place of a planner that chose wrongly."""
+    setting = Setting(chores=4, **fields)
+    setting.place_tasks(placed)
+    shard = shard_with(setting)
+    add_start(setting, *start)
+    with pytest.raises(JobInvariantError, match=error):
+        shard.draft_update(setting.job)
+
+
+def test_an_unanswered_start_counts_in_the_check_of_the_next() -> None:
+    """Its write may have been executed, or be executed late."""
+    setting = Setting(chores=4, spread=True)
+    setting.place_tasks(["a"])
+    shard = shard_with(setting)
+    add_start(setting, "a")
+    setting.job.uncertain_starts[2] = setting.job.pending_starts[1]
+    with pytest.raises(JobInvariantError, match="3 tasks"):
+        shard.draft_update(setting.job)
+    setting.job.uncertain_starts[1] = setting.job.uncertain_starts.pop(2)
+    assert shard.draft_update(setting.job) is not None
+
+
+@pytest.mark.parametrize("one_zone", [False, True])
+def test_a_job_that_an_older_version_placed_wrongly_is_not_set_aside(one_zone: bool) -> None:
+    """Its ends are recorded, and nothing starts in the full zone until enough tasks have ended."""
+    setting = Setting(chores=4, spread=True, same_place=one_zone)
+    setting.place_tasks(["a", "a", "a", "a"])
+    shard, job = shard_with(setting), setting.job
+    for task, starts_in_a in ((0, False), (1, False), (2, True)):
+        job.pending_ends[task] = api.CAUSE_ERROR
+        end = shard.draft_update(job)
+        assert end is not None
+        shard.apply_update(end, 2 + task)
+        decisions = start(setting)
+        setting.assert_allowed(decisions)
+        zones = {setting.context.zone_names[decision.candidate.zone] for decision in decisions}
+        assert ("a" in zones) == starts_in_a or not one_zone
+        assert bool(decisions) == (starts_in_a or not one_zone)
+        job.reserving.clear()
