Autoscaling: demand names the zone if the job's next task may use only one

Cause: published demand named a zone only for `roost`. What a job's other tasks leave (the one zone of `same_place`, the one zone that `spread` doesn't fill yet) was not said.

--- a/starlingdeck/jobs/zone_rules.py
+++ b/starlingdeck/jobs/zone_rules.py
@@ -68,6 +68,14 @@
     return min(UNBOUNDED, max(room, default=0) if job.spec.one_zone else sum(room))
 
 
+def only_zone(context: ControllerContext, job: Job) -> str:
+    """Return the name of the only zone where the job's next task may be placed; "" if several."""
+    if job.spec.zone is not None or not restricts_zones(job.spec):
+        return job.spec.zone or ""
+    zones = _allowed_zones(context, job, count_by_zone(job))
+    return context.zone_names[zones[0]] if len(zones) == 1 else ""
+
+
 def _allowed_zones(
     context: ControllerContext, job: Job, zone_counts: Mapping[int, int]
 ) -> list[int]:
--- a/starlingdeck/scheduling/demand_tracker.py
+++ b/starlingdeck/scheduling/demand_tracker.py
@@ -6,6 +6,7 @@
 
 from starlingdeck.autoscaling.fleet import Demand
 from starlingdeck.context import ControllerContext
+from starlingdeck.jobs.zone_rules import only_zone
 from starlingdeck.protocol import peer_pb2 as pb
 from starlingdeck.scheduling.decision import JobTaskCount
 
@@ -18,7 +19,7 @@
     demands: list[pb.Demand]
 
 
-def demand_messages(unplaced: list[JobTaskCount]) -> list[pb.Demand]:
+def demand_messages(context: ControllerContext, unplaced: list[JobTaskCount]) -> list[pb.Demand]:
     """Return messages with the demand of a cycle's unplaced tasks, one for each job."""
     return [
         pb.Demand(
@@ -27,7 +28,7 @@
             memory_gb=job.spec.memory_gb,
             count=count,
             types=job.spec.types or [],
-            zone=job.spec.zone or "",
+            zone=only_zone(context, job),
             spot=job.spec.spot,
             rank=job.spec.rank,
             service=job.spec.service,
@@ -45,7 +46,9 @@
 
     def publish(self, unplaced: list[JobTaskCount], at: float) -> None:
         """Record the unplaced tasks of this controller's cycle, which began at `at`."""
-        self._by_node[self.context.node] = _PublishedDemand(at, demand_messages(unplaced))
+        self._by_node[self.context.node] = _PublishedDemand(
+            at, demand_messages(self.context, unplaced)
+        )
 
     def published(self) -> list[pb.Demand]:
         """Return the demand that this controller published last."""
--- a/tests/test_placement_fields.py
+++ b/tests/test_placement_fields.py
@@ -27,6 +27,7 @@
 from starlingdeck.scheduling.accumulation import accumulate_capacity
 from starlingdeck.scheduling.constraints import EligibleCandidates
 from starlingdeck.scheduling.decision import PlacementDecision
+from starlingdeck.scheduling.demand_tracker import DemandTracker
 from starlingdeck.scheduling.moves import MovePlanner
 from starlingdeck.scheduling.preemption import PreemptionPlan
 from tests.support.builders import Clock, job_body, make_context, spec
@@ -210,6 +211,30 @@
     assert placeable_tasks(setting.context, setting.job) == 1
 
 
+def test_demand_names_the_only_zone_where_a_machine_would_help() -> None:
+    """Machines were rented in the cheapest zone, one after the other, and the task still waited."""
+    named = 0
+
+    @settings(derandomize=True, max_examples=300, deadline=None)
+    @given(fields=FIELDS, zones=st.lists(st.sampled_from("ab"), min_size=1, max_size=5))
+    def check(fields: dict[str, Any], zones: list[str]) -> None:
+        nonlocal named
+        setting = Setting(**fields)
+        setting.place_tasks(zones[: fields["chores"]])
+        tracker = DemandTracker(setting.context)
+        tracker.publish([(setting.job, 1)], 0.0)
+        (demand,) = tracker.published()
+        places = [Place(name, zone) for name in ("big", "small") for zone in ZONES]
+        others = tuple(zones[: fields["chores"]])
+        allowed = {place.zone for place in places if allows(setting.body, place, others)}
+        only = allowed.pop() if len(allowed) == 1 else ""
+        assert demand.zone == (fields["roost"] or only)
+        named += bool(demand.zone) and not fields["roost"]
+
+    check()
+    assert named > 20
+
+
 def test_a_job_held_back_by_its_zones_demands_no_quota() -> None:
     """Its shard counted as short of quota, and kept what a task elsewhere could have used."""
     setting = Setting(crew="blue", chores=8, same_place=True, spread=True)
