Zone rules: the zones of each machine type are interned once

`placeable_tasks` is asked for each waiting job a few times a cycle.

Same results: tests/test_placement_fields.py compares with the plain model as before.

--- a/starlingdeck/context.py
+++ b/starlingdeck/context.py
@@ -47,6 +47,7 @@
     team_names: InternTable = field(default_factory=InternTable)
     resource_names: InternTable = field(default_factory=InternTable)
     machine_types: dict[int, MachineType] = field(default_factory=dict)
+    zones_by_type: dict[int, frozenset[int]] = field(default_factory=dict)  # where it is offered
     latencies: LatencyHistograms = field(default_factory=LatencyHistograms)
     counters: Counters = field(default_factory=Counters)
     profiler: TaskProfiler | None = None  # set at log level debug
@@ -79,7 +80,9 @@
                     "machine type", machine_type.name, ValueError(str(machine_type))
                 )
                 continue
-            self.machine_types[self.type_names.intern(machine_type.name)] = machine_type
+            index = self.type_names.intern(machine_type.name)
+            self.machine_types[index] = machine_type
+            self.zones_by_type[index] = frozenset(map(self.zone_names.intern, machine_type.zones))
 
     def node_name(self, node: int) -> str:
         """Return the host name of a controller."""
--- a/starlingdeck/jobs/zone_rules.py
+++ b/starlingdeck/jobs/zone_rules.py
@@ -4,7 +4,7 @@
 
 from starlingdeck.context import UNBOUNDED, ControllerContext, fits, machine_capacity
 from starlingdeck.jobs.job import Job, TaskPlacement
-from starlingdeck.protocol.api import JobSpec
+from starlingdeck.protocol.api import JobSpec, MachineType
 
 ZoneFilter = Callable[[int], bool]
 
@@ -88,14 +88,20 @@
     context: ControllerContext, job: Job, zone_counts: Mapping[int, int]
 ) -> Collection[int]:
     """Return the job's zone, or all zones with its tasks or with machine types that they fit."""
-    spec, intern = job.spec, context.zone_names.intern
+    spec = job.spec
     if spec.zone is not None:
-        return [intern(spec.zone)]
-    offered = {
-        intern(zone)
-        for machine_type in context.machine_types.values()
-        if spec.types is None or machine_type.name in spec.types
-        if fits(job.size, machine_capacity(machine_type))
-        for zone in machine_type.zones
-    }
-    return offered | zone_counts.keys()
+        return (context.zone_names.intern(spec.zone),)
+    if spec.one_zone and zone_counts:
+        return zone_counts.keys()
+    zones = set(zone_counts)
+    for index, offered in context.zones_by_type.items():
+        if not zones.issuperset(offered) and _is_usable(job, context.machine_types[index]):
+            zones |= offered
+    return zones
+
+
+def _is_usable(job: Job, machine_type: MachineType) -> bool:
+    """Return whether a task of the job may run and fits on machines of a type."""
+    types = job.spec.types
+    allowed = types is None or machine_type.name in types
+    return allowed and fits(job.size, machine_capacity(machine_type))
