Quota: a transfer is written only over the shares that it was made from

Cause: `transfer_to` computes all shares at once, but `_write_transfer` read the version of the team's key only when its task began to run. A newer value that the watch brought in between was overwritten by the older shares, under its own version.

Why this works: `begin_transfer` returns the shares together with the version that they were made from (`QuotaChange`), and the write requires that version. A newer value makes it fail; the giver reads the key again, as after any refused transfer. Until then it counts its share as given away.

--- a/starlingdeck/admission/quota.py
+++ b/starlingdeck/admission/quota.py
@@ -27,6 +27,13 @@
 ZERO = ResourceAmount(0.0, 0.0)
 
 
+class QuotaChange(Struct, frozen=True):
+    """A team's shares after a transfer, to be written only over the shares it was made from."""
+
+    shares: list[ResourceAmount]
+    from_version: int  # version of the team's key
+
+
 class Quota(Struct):
     """The shares of all teams as this controller last read them."""
 
@@ -70,8 +77,8 @@
         receiver: int,
         need: ResourceAmount,
         withheld: ResourceAmount,
-    ) -> list[ResourceAmount] | None:
-        """Begin a transfer and return the team's shares after it; None if there is nothing to give.
+    ) -> QuotaChange | None:
+        """Begin a transfer and return the change to write; None if there is nothing to give.
 
         The giver gives up to `need` from the part of its share above `withheld`. Until
         `end_transfer` is called, the giver may use at most its share after the transfer, even if
@@ -91,7 +98,7 @@
         receiver_share = after[receiver]
         after[receiver] = ResourceAmount(receiver_share[0] + given[0], receiver_share[1] + given[1])
         self.pending_transfers[(team, giver)] = after[giver]
-        return after
+        return QuotaChange(after, self.versions.get(team, 0))
 
     def end_transfer(self, team: int, giver: int) -> None:
         """End a transfer: the recorded shares include its outcome now."""
--- a/starlingdeck/admission/quota_transfer.py
+++ b/starlingdeck/admission/quota_transfer.py
@@ -6,7 +6,7 @@
 import curio
 import msgspec
 
-from starlingdeck.admission.quota import Quota, ResourceAmount
+from starlingdeck.admission.quota import Quota, QuotaChange, ResourceAmount
 from starlingdeck.admission.quota_demand import QuotaDemand, TeamShard
 from starlingdeck.cluster.membership import Membership
 from starlingdeck.context import ControllerContext
@@ -107,25 +107,23 @@
             withheld = self.demand.withheld_from(team, giver, receiver, smallest)
             if withheld is None:
                 continue
-            after = self.quota.begin_transfer(team, giver, receiver, needed, withheld)
-            if after is not None:
+            change = self.quota.begin_transfer(team, giver, receiver, needed, withheld)
+            if change is not None:
                 await curio.spawn(
-                    self._write_transfer, team, giver, writer.shard, after, daemon=True
+                    self._write_transfer, team, giver, writer.shard, change, daemon=True
                 )
                 return
 
     async def _write_transfer(
-        self, team: int, giver: int, shard: JobShard, after: list[ResourceAmount]
+        self, team: int, giver: int, shard: JobShard, change: QuotaChange
     ) -> None:
+        """Write a transfer, unless the shares that it was made from have changed since."""
         key = records.quota_key(team)
-        conditions = {
-            key: self.quota.versions.get(team, 0),
-            records.shard_key(giver): shard.token,
-        }
+        conditions = {key: change.from_version, records.shard_key(giver): shard.token}
         try:
-            version = await self.state.transact(conditions, [put_change(key, after)])
-            self.quota.record_shares(team, after, version)
-            shares = [tuple(share) for share in after]
+            version = await self.state.transact(conditions, [put_change(key, change.shares)])
+            self.quota.record_shares(team, change.shares, version)
+            shares = [tuple(share) for share in change.shares]
             log.info("quota transferred: team=%d giver=%d shares=%s", team, giver, shares)
         except (StateError, TransactionConflictError) as error:
             log.info("quota transfer failed: team=%d giver=%d error=%r", team, giver, error)
