Machines: a machine gets at most 512 tasks, so that its report fits into a message

Cause: nothing bounded the tasks of a machine. Its report lists all of them; above some 1,300 it is longer than 64 KiB, every controller answers 413, and the lease runs out.

Why this works: the owner of a machine grants no further reservation and refuses a launch without one when the machine has 512 tasks, counting ended ones that its report still lists, launches and reservations. Such a machine is published with nothing free. Rentals count no more on a machine.

Cost: an array of tasks smaller than a 512th of a machine leaves part of the machine unused.

--- a/starlingdeck/autoscaling/rentals.py
+++ b/starlingdeck/autoscaling/rentals.py
@@ -14,6 +14,7 @@
 )
 from starlingdeck.context import ControllerContext, fit_count, fits, machine_capacity
 from starlingdeck.machines.scoring import Candidate
+from starlingdeck.machines.shard_state import MAX_TASKS_PER_MACHINE
 
 MAX_MACHINES_PER_REQUEST = 50  # limit of the cloud's protocol for one rental request
 MAX_MACHINES_PER_PLAN = 200
@@ -144,7 +145,7 @@
             break
         if not _kind_allowed(need, context.type_names[machine_type], zone, spot):
             continue
-        fitting = min(count - packed, fit_count(need.size, free))
+        fitting = min(count - packed, fit_count(need.size, free), MAX_TASKS_PER_MACHINE)
         if fitting > 0:
             packed += fitting
             for resource in range(3):
@@ -164,7 +165,7 @@
         capacity = machine_capacity(machine_type)
         if not fits(need.size, capacity):
             continue
-        limit = fit_count(need.size, capacity)
+        limit = min(fit_count(need.size, capacity), MAX_TASKS_PER_MACHINE)
         for zone in machine_type.zones:
             for spot in (False, True):
                 kind = (index, zone, spot)
--- a/starlingdeck/machines/reservations.py
+++ b/starlingdeck/machines/reservations.py
@@ -48,7 +48,7 @@
             free = available[machine.index]
             if free is None:
                 continue
-            if fits(info.size, free):
+            if fits(info.size, free) and state.may_add_task(machine):
                 machine.reservations[key] = Reservation(target.attempt, expires_at)
                 # Have the token raised while the placement is written, if the start will need it.
                 self.fence.may_start(machine, key, target.attempt)
--- a/starlingdeck/machines/shard_state.py
+++ b/starlingdeck/machines/shard_state.py
@@ -11,6 +11,8 @@
 HEARTBEAT_FRESH_MARGIN_S = 0.5
 # A machine that reports as many ended attempts is not schedulable until some have been removed.
 MAX_ENDED_ATTEMPTS = 256
+# A report lists all tasks of its machine, ended ones too, and may take 64 KiB at most.
+MAX_TASKS_PER_MACHINE = 512
 DELETED_RETENTION_S = 600.0  # how long late reports of a deleted machine are recognised
 
 
@@ -119,7 +121,8 @@
     def available(self, machine: Machine) -> list[float] | None:
         """Return what the reported tasks, pending launches and reservations leave free.
 
-        None while the machine's type or one of the jobs is not known.
+        None while the machine's type or one of the jobs is not known. A machine that may get no
+        further task has nothing free.
         """
         total = self.capacity(machine)
         if total is None:
@@ -135,12 +138,23 @@
                 return None
             for d in range(3):
                 free[d] -= info.size[d]
+        if not self.may_add_task(machine):
+            return [min(0.0, amount) for amount in free]
         return free
 
+    def may_add_task(self, machine: Machine) -> bool:
+        """Return whether a machine's reports have room for one more task.
+
+        A report that is too long is refused, and the machine's lease ends with all that runs there.
+        """
+        tasks = len(machine.tasks)
+        others = machine.pending_launches.keys() | machine.reservations.keys()
+        return tasks + len(others - machine.tasks.keys()) < MAX_TASKS_PER_MACHINE
+
     def has_capacity_for(self, machine: Machine, info: JobInfo) -> bool:
         """Return whether a task of the job fits beside all that is allocated on the machine."""
         free = self.available(machine)
-        return free is not None and fits(info.size, free)
+        return free is not None and fits(info.size, free) and self.may_add_task(machine)
 
     def shard_of_task(self, key: int) -> int:
         """Return the shard of a task's job."""
