Scheduling: a replica is replaced although its service has failed on three machines

Cause: a job that has failed on `suspect_machines` machines counts as one that fails wherever it runs, until a task of it completes. Replicas don't complete. Such a job gets one attempt in all (`SchedulingCycle._limit`), and none beside a running one (`Planner._may_probe`).

Why this works: `Job.fails_everywhere` also asks whether an attempt has run for 15 s. Beside one that has, the machines are to blame, and the job is placed as any other.

--- a/starlingdeck/jobs/job.py
+++ b/starlingdeck/jobs/job.py
@@ -16,6 +16,8 @@
 PENDING, PLACED, DONE = range(3)  # values of `Job.task_states`
 TASK_STATE_NAMES = ("pending", "placed", "done")
 NEVER_EXPIRES = 1e18  # later than any time of the local clock
+# An attempt that has run for so long shows that its job can run.
+STEADY_RUN_S = 15.0
 MIN_URGENT_RANK = 2  # from this rank on, starts are as urgent as accepting a submission
 
 
@@ -110,6 +112,18 @@
             else failure_attribution.UNKNOWN
         )
 
+    def fails_everywhere(self, machines: int, now: float) -> bool:
+        """Return whether the job has failed on as many machines, and no attempt of it runs well.
+
+        Beside one that does, the machines are to blame. Without that, a service that had failed on
+        three machines never got a replica back, as replicas don't complete.
+        """
+        return len(self.failed_on) >= machines and not any(
+            placement.observed_state == api.TASK_RUNNING
+            and now - placement.state_since >= STEADY_RUN_S
+            for placement in self.placements.values()
+        )
+
     @property
     def unfinished(self) -> int:
         """The number of tasks that have not completed."""
--- a/starlingdeck/scheduling/planner.py
+++ b/starlingdeck/scheduling/planner.py
@@ -207,11 +207,8 @@
 
         Jobs that fail wherever they run are limited to a small share of all state writes.
         """
-        if (
-            len(job.failed_on) < self.context.tuning.suspect_machines
-            or job.reserving
-            or job.pending_starts
-        ):
+        suspect = job.fails_everywhere(self.context.tuning.suspect_machines, now)
+        if not suspect or job.reserving or job.pending_starts:
             return True
         return (
             job.backoff_until <= now
--- a/starlingdeck/scheduling/scheduler.py
+++ b/starlingdeck/scheduling/scheduler.py
@@ -90,10 +90,11 @@
 
     def _limit(self, job: Job, limit: int) -> int:
         """Return how many of the job's tasks may be placed now, at most `limit`."""
-        if self.remaining <= 0 or job.backoff_until > self.context.now():
+        now = self.context.now()
+        if self.remaining <= 0 or job.backoff_until > now:
             return 0
         limit = min(self.remaining, limit, self.headroom(job))
-        if len(job.failed_on) >= self.context.tuning.suspect_machines:
+        if job.fails_everywhere(self.context.tuning.suspect_machines, now):
             limit = min(limit, 1 - job.active_attempts())
         return min(limit, placeable_tasks(self.context, job)) if limit > 0 else limit
 
