Scheduling: a job that waits for room takes no probe from the suspect jobs behind it

Why this works: a cycle only looks whether there is a probe. It is counted when a machine has been chosen, and each job is asked again when its turn comes, so that the limit on starts stays what it was. Asking a machine again that is already making room counts no second probe.

--- a/starlingdeck/scheduling/planner.py
+++ b/starlingdeck/scheduling/planner.py
@@ -4,7 +4,7 @@
 no machine, and moves descheduled tasks.
 """
 
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Collection, Iterable, Sequence
 from functools import partial
 
 import curio
@@ -202,19 +202,29 @@
             job.accumulating.clear()
         return False
 
+    def _is_suspect(self, job: Job, now: float) -> bool:
+        return job.fails_everywhere(self.context.tuning.suspect_machines, now)
+
     def _may_probe(self, job: Job, now: float) -> bool:
         """Return whether a job may be placed now.
 
         Jobs that fail wherever they run are limited to a small share of all state writes.
         """
-        suspect = job.fails_everywhere(self.context.tuning.suspect_machines, now)
-        if not suspect or job.reserving or job.pending_starts:
+        if not self._is_suspect(job, now):
             return True
-        return (
-            job.backoff_until <= now
-            and not job.placements
-            and self.probe_limiter.take_or_delay(1.0, True) <= 0
-        )
+        if job.reserving or job.pending_starts or job.nominated:
+            return True
+        probes, _ = self.probe_limiter.available(True)
+        return job.backoff_until <= now and not job.placements and probes > 0
+
+    def _count_probe(self, decisions: Sequence[PlacementDecision], asked: Collection[int]) -> None:
+        """Count the placement of a suspect job as a probe, unless it only repeats a request.
+
+        `asked` are the tasks for which a machine is making room already. A job for which no machine
+        was found takes no probe from the jobs after it.
+        """
+        if any(decision.task not in asked for decision in decisions):
+            self.probe_limiter.take_or_delay(1.0, True)
 
     def _on_idle(self, now: float) -> None:
         self.demand.publish([], now)
@@ -277,7 +287,13 @@
 
     async def _place(self, job: Job, decide: DecisionFunction, protected: bool = False) -> None:
         """Request the reservations that `decide` chooses for a job, then yield if it is time."""
+        now = self.context.now()
+        if not self._may_probe(job, now):  # jobs before it in this cycle have taken the probes
+            return
+        asked = set(job.nominated)
         decisions = self._decide(job, decide)
+        if self._is_suspect(job, now):
+            self._count_probe(decisions, asked)
         if protected:
             # If tasks were marked as protected only once they run, they could be preempted before
             # their machine learns of the mark.
--- a/tests/test_probes.py
+++ b/tests/test_probes.py
@@ -39,6 +39,22 @@
     return requested
 
 
+def test_a_suspect_job_without_room_leaves_the_probe_to_the_next() -> None:
+    """A large job took every probe without a machine to use it on; a small one was never placed."""
+    controller, shard = planning_controller(Clock(), machine("vm-1", 2.0))
+    add_job(controller, shard, "j-000001", chores=1, cores=4.0)
+    add_job(controller, shard, "j-000002", chores=1, cores=2.0)
+    assert requested_jobs(controller) == ["j-000002"]
+
+
+def test_suspect_jobs_share_one_limit() -> None:
+    controller, shard = planning_controller(Clock(), machine("vm-1"), machine("vm-2"))
+    for number in range(4):
+        add_job(controller, shard, f"j-00000{number}", chores=1, cores=2.0)
+    burst = int(controller.planner.probe_limiter.burst)
+    assert len(requested_jobs(controller, cycles=5)) == burst < 4
+
+
 @pytest.mark.parametrize(
     ("state", "ran_s", "replaced"),
     [
