Planner: the limit on probes has a module of its own

The planner kept the limiter, its rate and who counts as a suspect beside its cycles. Same behaviour: tests/test_probes.py.

--- a/starlingdeck/scheduling/planner.py
+++ b/starlingdeck/scheduling/planner.py
@@ -4,7 +4,7 @@
 no machine, and moves descheduled tasks.
 """
 
-from collections.abc import Callable, Collection, Iterable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 from functools import partial
 
 import curio
@@ -21,9 +21,9 @@
 from starlingdeck.scheduling.guarantees import TeamJob
 from starlingdeck.scheduling.moves import MovePlanner
 from starlingdeck.scheduling.preemption import PreemptionPlan
+from starlingdeck.scheduling.probes import ProbeLimiter
 from starlingdeck.scheduling.reservation_client import ReservationClient
 from starlingdeck.scheduling.scheduler import SchedulingCycle
-from starlingdeck.storage.limiter import TokenBucket
 
 MAX_DECISIONS_PER_CYCLE = 100
 MAX_PUBLISHED_TEAM_JOBS = 10_000  # each takes some 41 bytes, sent to peers twice a second
@@ -40,7 +40,6 @@
 # Time after which a cycle yields to other tasks of the event loop.
 MAX_RUN_WITHOUT_YIELD_S = 0.005
 MAX_STARVING_JOBS_PER_CYCLE = 4  # number of starving jobs placed before all others
-PROBE_WRITE_SHARE = 0.05  # share of the state writes for jobs that fail on every machine
 # Share of its objective on waiting that an array waits under churn before it preempts.
 CHURN_WAIT_SHARE = 0.25
 
@@ -63,10 +62,7 @@
         self.reservations = ReservationClient(context, dependencies, self.overload_settings)
         self.moves = MovePlanner(context, self.writers)
         self.demand = DemandTracker(context)
-        writes_per_s = context.settings.settings.state.write_rps
-        self.probe_limiter = TokenBucket(
-            PROBE_WRITE_SHARE * writes_per_s / 2 / context.shard_count, 2.0, context.now
-        )
+        self.probes = ProbeLimiter(context)
         # Node of another controller -> the jobs that it published.
         self.team_jobs: dict[int, list[TeamJob]] = {}
         self.next_cycle_at = 0.0
@@ -187,7 +183,7 @@
             for job in self._all_jobs()
             if not (job.cancelled or job.terminal_state or job.stale) and job.pending(1)
             if not self.context.is_quarantined("job", job.id)
-            if self._zones_allow_more(job) and self._may_probe(job, now)
+            if self._zones_allow_more(job) and self.probes.may_place(job, now)
         ]
 
     def _zones_allow_more(self, job: Job) -> bool:
@@ -202,30 +198,6 @@
             job.accumulating.clear()
         return False
 
-    def _is_suspect(self, job: Job, now: float) -> bool:
-        return job.fails_everywhere(self.context.tuning.suspect_machines, now)
-
-    def _may_probe(self, job: Job, now: float) -> bool:
-        """Return whether a job may be placed now.
-
-        Jobs that fail wherever they run are limited to a small share of all state writes.
-        """
-        if not self._is_suspect(job, now):
-            return True
-        if job.reserving or job.pending_starts or job.nominated:
-            return True
-        probes, _ = self.probe_limiter.available(True)
-        return job.backoff_until <= now and not job.placements and probes > 0
-
-    def _count_probe(self, decisions: Sequence[PlacementDecision], asked: Collection[int]) -> None:
-        """Count the placement of a suspect job as a probe, unless it only repeats a request.
-
-        `asked` are the tasks for which a machine is making room already. A job for which no machine
-        was found takes no probe from the jobs after it.
-        """
-        if any(decision.task not in asked for decision in decisions):
-            self.probe_limiter.take_or_delay(1.0, True)
-
     def _on_idle(self, now: float) -> None:
         self.demand.publish([], now)
         self.admission.on_idle()
@@ -288,12 +260,12 @@
     async def _place(self, job: Job, decide: DecisionFunction, protected: bool = False) -> None:
         """Request the reservations that `decide` chooses for a job, then yield if it is time."""
         now = self.context.now()
-        if not self._may_probe(job, now):  # jobs before it in this cycle have taken the probes
+        if not self.probes.may_place(job, now):  # jobs before it in this cycle have taken them
             return
         asked = set(job.nominated)
         decisions = self._decide(job, decide)
-        if self._is_suspect(job, now):
-            self._count_probe(decisions, asked)
+        if any(decision.task not in asked for decision in decisions):
+            self.probes.count(job, now)
         if protected:
             # If tasks were marked as protected only once they run, they could be preempted before
             # their machine learns of the mark.
--- a/tests/test_probes.py
+++ b/tests/test_probes.py
@@ -51,7 +51,7 @@
     controller, shard = planning_controller(Clock(), machine("vm-1"), machine("vm-2"))
     for number in range(4):
         add_job(controller, shard, f"j-00000{number}", chores=1, cores=2.0)
-    burst = int(controller.planner.probe_limiter.burst)
+    burst = int(controller.planner.probes.limiter.burst)
     assert len(requested_jobs(controller, cycles=5)) == burst < 4
 
 
