--- a/starlingdeck/jobs/zone_rules.py
+++ b/starlingdeck/jobs/zone_rules.py
@@ -69,11 +69,14 @@
 
 
 def only_zone(context: ControllerContext, job: Job) -> str:
-    """Return the name of the only zone where the job's next task may be placed; "" if several."""
-    if job.spec.zone is not None or not restricts_zones(job.spec):
+    """Return the name of the only zone that is left to the job's waiting tasks; "" if none is.
+
+    That is the job's own zone, or where the other tasks of a job for one zone are.
+    """
+    zone_counts = count_by_zone(job) if job.spec.one_zone else {}
+    if job.spec.zone is not None or len(zone_counts) != 1:
         return job.spec.zone or ""
-    zones = _allowed_zones(context, job, count_by_zone(job))
-    return context.zone_names[zones[0]] if len(zones) == 1 else ""
+    return context.zone_names[next(iter(zone_counts))]
 
 
 def _allowed_zones(
